--- /dev/null
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -0,0 +1,184 @@
+package dewwing.control.api
+
+import com.github.benmanes.caffeine.cache.Cache
+import com.github.benmanes.caffeine.cache.Caffeine
+import dewwing.control.core.JobCounts
+import dewwing.control.core.StateChange
+import dewwing.control.core.TokenBucket
+import dewwing.control.core.intent.JobRecord
+import dewwing.control.core.intent.Keys
+import dewwing.control.core.placement.Placer
+import dewwing.control.core.quota.Quota
+import dewwing.control.http.HttpAnswer
+import dewwing.control.http.HttpRequest
+import dewwing.control.state.CommitResult
+import dewwing.control.state.StateClient
+import dewwing.control.state.StateUnavailableException
+import dewwing.protocol.Fields
+import dewwing.protocol.Instant
+import dewwing.protocol.JobRef
+import dewwing.protocol.JobSpec
+import dewwing.protocol.JobStage
+import dewwing.protocol.MachineType
+import dewwing.protocol.MalformedException
+import dewwing.protocol.Pack
+import dewwing.protocol.Revision
+import dewwing.protocol.Wire
+
+/** What the user API needs of the controller round it. */
+interface ApiHost {
+    val machineTypes: Collection<MachineType>
+
+    /** Asks a sibling that reaches the state service; null when none can be had. */
+    suspend fun relay(request: HttpRequest): HttpAnswer?
+
+    /** Display counts, from whoever leads; null when unknown. */
+    suspend fun counts(ref: JobRef): JobCounts?
+    fun now(): Instant
+    fun wallMs(): Long
+}
+
+/**
+ * Submit, query and cancel, on any controller: the truth is the job's record in the state service, and every answer
+ * rests on reading it or on changing it conditionally. Only final stages, which never change, are cached.
+ */
+class UserApi(
+    private val state: StateClient,
+    private val quota: Quota,
+    private val host: ApiHost,
+    private val changes: TokenBucket,
+    private val maxValueBytes: Int,
+) {
+    private val finals: Cache<String, JobStage> = Caffeine.newBuilder().maximumSize(FINALS_KEPT)
+        .executor(Runnable::run).build()
+    private var inFlight = 0
+
+    suspend fun handle(request: HttpRequest, relayed: Boolean): HttpAnswer {
+        val path = request.path
+        if (path == Wire.JOBS) {
+            if (request.method != "POST") return notAllowed("POST")
+            return guarded(request, relayed) { submit(request.body) }
+        }
+        val rest = path.removePrefix(Wire.JOBS + "/")
+        if (rest == path) return HttpAnswer.error(404, "no such path")
+        if (rest.endsWith(CANCEL)) {
+            val ref = JobRef.parse(rest.removeSuffix(CANCEL)) ?: return HttpAnswer.error(404, "no such job")
+            if (request.method != "POST") return notAllowed("POST")
+            return guarded(request, relayed) { cancel(ref) }
+        }
+        if ('/' in rest) return HttpAnswer.error(404, "no such path")
+        val ref = JobRef.parse(rest) ?: return HttpAnswer.error(404, "no such job")
+        if (request.method != "GET") return notAllowed("GET")
+        return guarded(request, relayed) { query(ref) }
+    }
+
+    private fun notAllowed(method: String) =
+        HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
+
+    /** Bounds what waits for the state service, and turns to a sibling when only this controller is refused by it. */
+    private suspend fun guarded(request: HttpRequest, relayed: Boolean, block: suspend () -> HttpAnswer): HttpAnswer {
+        if (inFlight >= MAX_IN_FLIGHT) return HttpAnswer.error(503, "busy", RETRY_S)
+        inFlight++
+        try {
+            return block()
+        } catch (e: StateUnavailableException) {
+            val other = if (relayed) null else host.relay(request)
+            return other ?: HttpAnswer.error(503, "the state service cannot be reached", RETRY_S)
+        } finally {
+            inFlight--
+        }
+    }
+
+    private suspend fun submit(body: ByteArray): HttpAnswer {
+        val fields: Fields
+        try {
+            fields = Pack.decodeMap(body)
+        } catch (e: MalformedException) {
+            return HttpAnswer.error(400, e.message ?: "malformed")
+        }
+        val spec = try {
+            Wire.jobSpec(fields)
+        } catch (e: MalformedException) {
+            return knownOr(Wire.submissionRef(fields), HttpAnswer.error(400, e.message ?: "malformed"))
+        }
+        if (host.machineTypes.isEmpty()) {
+            return knownOr(spec.ref, HttpAnswer.error(503, "machine types are not known yet", RETRY_S))
+        }
+        val never = cannotEverRun(spec)
+        if (never != null) return knownOr(spec.ref, HttpAnswer.error(422, never))
+        val value = JobRecord(JobStage.QUEUED, spec, host.wallMs()).toValue()
+        if (Pack.jsonSize(value) > maxValueBytes) {
+            return knownOr(spec.ref, HttpAnswer.error(400, "the description is too long"))
+        }
+        if (!changes.tryTake(host.now(), 1.0)) return knownOr(spec.ref, HttpAnswer.error(429, "too many", RETRY_S))
+        val change = StateChange(listOf(Keys.job(spec.ref) to Revision.ABSENT), listOf(Keys.job(spec.ref) to value))
+        // Without an answer the record may exist or not: the same conditional change again tells.
+        val result = try {
+            state.commit(change)
+        } catch (e: StateUnavailableException) {
+            if (e.certainlyNot) throw e
+            state.commit(change)
+        }
+        return when (result) {
+            is CommitResult.Applied -> HttpAnswer.of(201, Wire.jobAnswer(spec.ref, JobStage.QUEUED))
+            else -> knownOr(spec.ref, HttpAnswer.error(503, "try again", RETRY_S))
+        }
+    }
+
+    /** The job's state if it was accepted before, whatever this request looks like; else [answer]. */
+    private suspend fun knownOr(ref: JobRef?, answer: HttpAnswer): HttpAnswer {
+        if (ref == null) return answer
+        val stage = read(ref)?.first?.stage ?: return answer
+        return HttpAnswer.of(200, Wire.jobAnswer(ref, stage))
+    }
+
+    private fun cannotEverRun(spec: JobSpec): String? = when {
+        !quota.knows(spec.team) -> "unknown team ${spec.team}"
+        host.machineTypes.none { fits(spec, it) } -> "no allowed machine type can hold a task"
+        !quota.canEverRun(spec) -> "more than the team's limit"
+        else -> null
+    }
+
+    private fun fits(spec: JobSpec, type: MachineType): Boolean =
+        Placer.typeAllowed(spec, type) && (spec.zone == null || spec.zone in type.zones)
+
+    private suspend fun read(ref: JobRef): Pair<JobRecord, Revision>? {
+        val entry = state.get(Keys.job(ref)) ?: return null
+        val record = JobRecord.of(entry.value ?: return null)
+        if (record.isFinal) finals.put(ref.value, record.stage)
+        return record to entry.revision
+    }
+
+    private suspend fun query(ref: JobRef): HttpAnswer {
+        val stage = finals.getIfPresent(ref.value) ?: (read(ref) ?: return HttpAnswer.error(404, "no such job")).first.stage
+        if (stage == JobStage.DONE || stage == JobStage.ABORTED) {
+            return HttpAnswer.of(200, Wire.queryAnswer(ref, stage, 0, 0))
+        }
+        val counts = host.counts(ref)
+        // The leader may be behind the record just read, so only its counts are used, never a stage past running.
+        return HttpAnswer.of(200, Wire.queryAnswer(ref, counts?.stage ?: stage, counts?.done ?: 0, counts?.running ?: 0))
+    }
+
+    private suspend fun cancel(ref: JobRef): HttpAnswer {
+        repeat(CANCEL_TRIES) {
+            val (record, revision) = read(ref) ?: return HttpAnswer.error(404, "no such job")
+            if (record.isFinal) return HttpAnswer.of(200, Wire.jobAnswer(ref, record.stage))
+            if (!changes.tryTake(host.now(), 1.0)) return HttpAnswer.error(429, "too many", RETRY_S)
+            val value = record.copy(stage = JobStage.ABORTED).toValue()
+            val change = StateChange(listOf(Keys.job(ref) to revision), listOf(Keys.job(ref) to value))
+            if (state.commit(change) is CommitResult.Applied) {
+                finals.put(ref.value, JobStage.ABORTED)
+                return HttpAnswer.of(200, Wire.jobAnswer(ref, JobStage.ABORTED))
+            }
+        }
+        return HttpAnswer.error(503, "try again", RETRY_S)
+    }
+
+    companion object {
+        private const val CANCEL = "/cancel"
+        private const val CANCEL_TRIES = 3
+        private const val RETRY_S = 1
+        private const val MAX_IN_FLIGHT = 200
+        private const val FINALS_KEPT = 20_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -0,0 +1,397 @@
+package dewwing.control.app
+
+import dewwing.control.api.ApiHost
+import dewwing.control.api.UserApi
+import dewwing.control.cloud.CloudClient
+import dewwing.control.core.CoreSettings
+import dewwing.control.core.JobCounts
+import dewwing.control.core.TokenBucket
+import dewwing.control.core.Tunables
+import dewwing.control.core.intent.Keys
+import dewwing.control.core.leadership.Authority
+import dewwing.control.core.leadership.Leadership
+import dewwing.control.core.leadership.SiblingWord
+import dewwing.control.core.quota.Quota
+import dewwing.control.http.HttpAnswer
+import dewwing.control.http.HttpClient
+import dewwing.control.http.HttpRequest
+import dewwing.control.http.HttpServer
+import dewwing.control.http.ServerLimits
+import dewwing.control.peer.PeerAnswer
+import dewwing.control.peer.PeerClient
+import dewwing.control.peer.PeerRequest
+import dewwing.control.peer.PeerServer
+import dewwing.control.peer.PeerWord
+import dewwing.control.state.CommitResult
+import dewwing.control.state.StateClient
+import dewwing.control.state.StateUnavailableException
+import dewwing.control.worker.WorkerClient
+import dewwing.protocol.HoldId
+import dewwing.protocol.Instant
+import dewwing.protocol.JobRef
+import dewwing.protocol.JobStage
+import dewwing.protocol.MachineType
+import dewwing.protocol.MalformedException
+import dewwing.protocol.Pack
+import dewwing.protocol.Revision
+import dewwing.protocol.Settings
+import dewwing.protocol.Span
+import dewwing.protocol.Term
+import dewwing.protocol.Wire
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import kotlin.random.Random
+
+/**
+ * One controller: serves users and workers, says words to its siblings, stands for election, and leads while elected.
+ *
+ * Everything here runs on one thread; only the socket selector has another.
+ */
+class Controller(
+    private val settings: Settings,
+    private val tunables: Tunables,
+    private val options: Options,
+    private val selector: SelectorManager,
+    private val metrics: Metrics,
+) : ApiHost {
+    private val log = LoggerFactory.getLogger("controller")
+    private val nodes = settings.siblings.size + 1
+
+    private val state = StateClient(
+        http = HttpClient(selector, settings.state, maxIdle = 8),
+        watches = HttpClient(selector, settings.state, maxIdle = 1),
+        requests = TokenBucket(settings.stateLimits.requestsPerS * REQUEST_SHARE / nodes, settings.stateLimits.requestsPerS * REQUEST_SHARE / nodes),
+        clock = ::now,
+        onOutcome = { call, outcome -> metrics.called("state", call, outcome) },
+    )
+    private val cloud = CloudClient(
+        http = HttpClient(selector, settings.cloud, maxIdle = 2),
+        requests = TokenBucket(settings.cloudLimits.requestsPerS * CLOUD_SHARE, settings.cloudLimits.requestsPerS),
+        clock = ::now,
+        onOutcome = { call, outcome -> metrics.called("cloud", call, outcome) },
+    )
+    private val workers = WorkerClient(selector) { call, outcome -> metrics.called("worker", call, outcome) }
+    private val peers = settings.siblings.associate { it.name to PeerClient(selector, it.endpoint) }
+    private val words = HashMap<String, SiblingWord>()
+    private val leadership = Leadership(
+        ttl = options.holdTtl,
+        margin = Span(HOLD_MARGIN_MS),
+        wordAge = Span(minOf(WORD_AGE_MS, tunables.outageBound.ms)),
+        siblings = peers.keys,
+    )
+    private val api: UserApi
+    private var types: List<MachineType> = emptyList()
+    private var leaderName: String? = null
+    private var leading: Leader? = null
+
+    override val machineTypes: Collection<MachineType> get() = types
+    override fun now(): Instant = Instant(System.nanoTime() / 1_000_000)
+    override fun wallMs(): Long = System.currentTimeMillis()
+
+    init {
+        val intakePerS = settings.stateLimits.writesPerS * (1 - tunables.writeShare) * INTAKE_SHARE / nodes
+        api = UserApi(
+            state = state,
+            quota = Quota(settings.teams),
+            host = this,
+            changes = TokenBucket(intakePerS, maxOf(INTAKE_BURST, intakePerS)),
+            maxValueBytes = settings.stateLimits.valueBytes - VALUE_SLACK,
+        )
+    }
+
+    suspend fun run(): Unit = coroutineScope {
+        val limits = ServerLimits(
+            connections = settings.sockets * 3 / 4,
+            maxBody = Wire.MAX_BODY,
+            idleMs = IDLE_MS,
+            requestMs = REQUEST_MS,
+            writeMs = WRITE_MS,
+        )
+        launch { HttpServer(selector, settings.serveOn, limits, ::serve).run() }
+        launch { PeerServer(selector, settings.peerListen, ::answerPeer).run() }
+        for ((name, client) in peers) launch { sayWords(name, client) }
+        launch { learnTypes() }
+        electForEver()
+    }
+
+    // ---- serving ---------------------------------------------------------------------------------------------
+
+    private suspend fun serve(request: HttpRequest): HttpAnswer {
+        val answer = when (request.path) {
+            Wire.REPORT -> if (request.method == "POST") report(request) else notAllowed("POST")
+            Wire.HEALTH -> if (request.method == "GET") health() else notAllowed("GET")
+            Metrics.PATH -> if (request.method == "GET") scrape() else notAllowed("GET")
+            else -> api.handle(request, relayed = false)
+        }
+        metrics.answered(request.path.split('/', limit = 4).take(3).joinToString("/"), answer.status)
+        return answer
+    }
+
+    private fun notAllowed(method: String) =
+        HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
+
+    private fun health(): HttpAnswer =
+        if (types.isEmpty()) HttpAnswer.error(503, "machine types are not known yet", 1)
+        else HttpAnswer.of(200, emptyMap<String, Any?>())
+
+    private fun scrape(): HttpAnswer {
+        val scheduler = leading?.scheduler
+        val text = metrics.scrape(scheduler?.queueByClass() ?: emptyMap(), scheduler?.machinesByState() ?: emptyMap())
+        return HttpAnswer(200, text.toByteArray(), contentType = "text/plain; version=0.0.4")
+    }
+
+    /** A worker's report. Only a 200 with our term renews its lease, so that answer rests on our authority now. */
+    private fun report(request: HttpRequest): HttpAnswer {
+        val report = try {
+            Wire.report(Pack.decodeMap(request.body))
+        } catch (e: MalformedException) {
+            return HttpAnswer.error(400, e.message ?: "malformed")
+        }
+        leadership.heardTerm(report.term)
+        val now = now()
+        val lead = leading
+        val authority = if (lead == null) Authority.NONE else leadership.authority(now, state.failing)
+        if (lead == null || authority == Authority.NONE) {
+            return HttpAnswer.of(421, Wire.redirect(leaderName?.takeIf { it != settings.node }))
+        }
+        val commands = lead.scheduler?.onReport(report, now, mayStart = authority == Authority.FULL) ?: emptyList()
+        lead.wake()
+        return HttpAnswer.of(200, Wire.reportAnswer(lead.term, commands))
+    }
+
+    // ---- siblings --------------------------------------------------------------------------------------------
+
+    private fun ownWord() = PeerWord(!state.failing && state.lastAnswered > Instant.NEVER, leadership.highestTerm, leaderName ?: "")
+
+    private suspend fun sayWords(name: String, client: PeerClient) {
+        while (true) {
+            val sent = now()
+            try {
+                val answer = client.ask(PeerRequest.Word(settings.node, ownWord()), WORD_TIMEOUT_MS)
+                if (answer is PeerAnswer.Word) {
+                    // Dated when it was asked for: the sibling said it later than that, never earlier.
+                    val word = SiblingWord(sent, answer.word.reachesState, answer.word.highestTerm)
+                    words[name] = word
+                    leadership.heard(name, word)
+                    hearLeader(answer.word)
+                }
+            } catch (e: IOException) {
+                log.debug("no word from {}: {}", name, e.message)
+            }
+            delay(WORD_EVERY_MS)
+        }
+    }
+
+    private fun hearLeader(word: PeerWord) {
+        if (leaderName == null && word.leader.isNotEmpty() && word.leader != settings.node &&
+            word.highestTerm >= leadership.highestTerm
+        ) leaderName = word.leader
+    }
+
+    private suspend fun answerPeer(request: PeerRequest): PeerAnswer = when (request) {
+        is PeerRequest.Word -> {
+            leadership.heardTerm(request.word.highestTerm)
+            PeerAnswer.Word(ownWord())
+        }
+        is PeerRequest.Counts -> {
+            val counts = JobRef.parse(request.ref)?.let { leading?.scheduler?.counts(it) }
+            PeerAnswer.Counts(counts != null, counts?.running ?: 0, counts?.done ?: 0)
+        }
+        is PeerRequest.Relay -> {
+            val answer = api.handle(HttpRequest(request.method, request.path, "", request.body), relayed = true)
+            PeerAnswer.Relay(answer.status, answer.retryAfterS ?: 0, answer.body)
+        }
+    }
+
+    override suspend fun relay(request: HttpRequest): HttpAnswer? {
+        val fresh = now()
+        val able = words.filter { it.value.reachesState && (fresh - it.value.at).ms < RELAY_WORD_MS }.keys
+        for (name in able) {
+            try {
+                val ask = PeerRequest.Relay(request.method, request.path, request.body)
+                val answer = peers[name]?.ask(ask, RELAY_MS)
+                if (answer is PeerAnswer.Relay) {
+                    return HttpAnswer(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
+                }
+            } catch (e: IOException) {
+                log.debug("relay by {} failed: {}", name, e.message)
+            }
+        }
+        return null
+    }
+
+    override suspend fun counts(ref: JobRef): JobCounts? {
+        leading?.scheduler?.let { return it.counts(ref) }
+        val client = peers[leaderName ?: return null] ?: return null
+        return try {
+            val answer = client.ask(PeerRequest.Counts(ref.value), COUNTS_MS)
+            if (answer !is PeerAnswer.Counts || !answer.known) null
+            else JobCounts(if (answer.running > 0) JobStage.RUNNING else JobStage.QUEUED, answer.done, answer.running)
+        } catch (e: IOException) {
+            null
+        }
+    }
+
+    // ---- machine types ---------------------------------------------------------------------------------------
+
+    /** From the state service, so that intake survives an outage of the cloud; else from the cloud itself. */
+    private suspend fun learnTypes() {
+        while (types.isEmpty()) {
+            try {
+                val stored = state.get(Keys.TYPES)?.value
+                if (stored != null) learned(Wire.machineTypes(dewwing.protocol.Fields(stored)))
+            } catch (e: IOException) {
+                log.debug("no stored machine types: {}", e.message)
+            } catch (e: MalformedException) {
+                log.warn("stored machine types cannot be read: {}", e.message)
+            }
+            if (types.isEmpty()) {
+                try {
+                    learned(cloud.machineTypes())
+                } catch (e: IOException) {
+                    log.debug("no machine types from the cloud: {}", e.message)
+                } catch (e: MalformedException) {
+                    log.warn("the cloud's machine types cannot be read: {}", e.message)
+                }
+            }
+            if (types.isEmpty()) delay(TYPES_RETRY_MS)
+        }
+    }
+
+    internal fun learned(list: List<MachineType>) {
+        if (list.isNotEmpty()) types = list
+    }
+
+    // ---- election --------------------------------------------------------------------------------------------
+
+    private suspend fun electForEver() {
+        while (true) {
+            try {
+                val seen = readTerm()
+                if (seen.holder != null && seen.holderName != settings.node) {
+                    leaderName = seen.holderName
+                } else if (seen.holder == null) {
+                    leaderName = null
+                    // Siblings see the hold end at the same moment.
+                    delay(Random.nextLong(ELECTION_JITTER_MS))
+                    stand(seen)?.let { lead(it) }
+                } else {
+                    // Our own earlier life's hold; it ends by itself.
+                    leaderName = null
+                }
+            } catch (e: IOException) {
+                log.debug("state service: {}", e.message)
+            } catch (e: MalformedException) {
+                log.warn("state service answered nonsense: {}", e.message)
+            }
+            delay(ELECTION_POLL_MS)
+        }
+    }
+
+    private class TermSeen(val term: Term, val revision: Revision, val holder: Wire.Entry?, val holderName: String?)
+
+    private suspend fun readTerm(): TermSeen {
+        var term = Term.NONE
+        var revision = Revision.ABSENT
+        var holder: Wire.Entry? = null
+        state.list(Keys.TERM) { entries ->
+            for (e in entries) {
+                if (e.key == Keys.TERM) {
+                    term = Term((e.value?.get("n") as? Long) ?: 0)
+                    revision = e.revision
+                }
+                if (e.key == Keys.HOLDER) holder = e
+            }
+        }
+        leadership.heardTerm(term)
+        return TermSeen(term, revision, holder, holder?.value?.get("node") as? String)
+    }
+
+    private class Elected(val term: Term, val revision: Revision, val hold: HoldId, val holdSentAt: Instant)
+
+    private suspend fun stand(seen: TermSeen): Elected? {
+        val sent = now()
+        val hold = state.createHold(options.holdTtl)
+        val term = seen.term.next()
+        val change = dewwing.control.core.StateChange(
+            conditions = listOf(Keys.TERM to seen.revision, Keys.HOLDER to Revision.ABSENT),
+            puts = listOf(
+                Keys.TERM to mapOf("n" to term.value, "node" to settings.node),
+                Keys.HOLDER to mapOf("n" to term.value, "node" to settings.node, "hold" to hold.value),
+            ),
+        )
+        val result = try {
+            state.commit(change, hold, Keys.HOLDER)
+        } catch (e: StateUnavailableException) {
+            if (e.certainlyNot) return null
+            // Unknown: the holder's record tells, since nobody else has our hold's number.
+            val again = readTerm()
+            if (again.holder?.value?.get("hold") != hold.value || again.term != term) return null
+            CommitResult.Applied(again.revision)
+        }
+        if (result is CommitResult.Applied) return Elected(term, result.revision, hold, sent)
+        try {
+            state.dropHold(hold)
+        } catch (e: IOException) {
+            log.debug("hold not dropped: {}", e.message)
+        }
+        return null
+    }
+
+    private suspend fun lead(elected: Elected) {
+        log.info("elected for term {}", elected.term)
+        leaderName = settings.node
+        leadership.elected(elected.term, elected.holdSentAt)
+        val leader = Leader(
+            term = elected.term,
+            termRevision = elected.revision,
+            hold = elected.hold,
+            leadership = leadership,
+            state = state,
+            cloud = cloud,
+            workers = workers,
+            core = CoreSettings(
+                settings.teams, settings.objectives, settings.workers, settings.stateLimits, settings.cloudLimits, tunables,
+            ),
+            options = options,
+            metrics = metrics,
+            clock = this,
+            knownTypes = { types },
+            onTypes = ::learned,
+        )
+        leading = leader
+        try {
+            leader.run()
+        } finally {
+            leadership.resign()
+            leading = null
+            leaderName = null
+            log.info("term {} is over", elected.term)
+        }
+    }
+
+    companion object {
+        private const val REQUEST_SHARE = 0.9
+        private const val CLOUD_SHARE = 0.8
+        private const val INTAKE_SHARE = 0.8
+        private const val INTAKE_BURST = 6.0
+        private const val VALUE_SLACK = 64
+        private const val HOLD_MARGIN_MS = 250L
+        private const val WORD_AGE_MS = 2_500L
+        private const val WORD_EVERY_MS = 500L
+        private const val WORD_TIMEOUT_MS = 1_000L
+        private const val RELAY_WORD_MS = 3_000L
+        private const val RELAY_MS = 1_800L
+        private const val COUNTS_MS = 300L
+        private const val TYPES_RETRY_MS = 1_000L
+        private const val ELECTION_POLL_MS = 400L
+        private const val ELECTION_JITTER_MS = 120L
+        private const val IDLE_MS = 90_000L
+        private const val REQUEST_MS = 10_000L
+        private const val WRITE_MS = 10_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -0,0 +1,275 @@
+package dewwing.control.app
+
+import dewwing.control.api.ApiHost
+import dewwing.control.cloud.CloudClient
+import dewwing.control.core.CoreSettings
+import dewwing.control.core.Effect
+import dewwing.control.core.Scheduler
+import dewwing.control.core.StateChange
+import dewwing.control.core.intent.JobRecord
+import dewwing.control.core.intent.Keys
+import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.RentRecord
+import dewwing.control.core.leadership.Authority
+import dewwing.control.core.leadership.Leadership
+import dewwing.control.state.CommitResult
+import dewwing.control.state.FollowResult
+import dewwing.control.state.StateClient
+import dewwing.control.state.StateUnavailableException
+import dewwing.control.worker.WorkerClient
+import dewwing.protocol.HoldId
+import dewwing.protocol.MachineType
+import dewwing.protocol.MalformedException
+import dewwing.protocol.Revision
+import dewwing.protocol.Span
+import dewwing.protocol.Term
+import dewwing.protocol.Wire
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import java.io.IOException
+
+/** One term in office: feeds the [Scheduler] with what happens and carries out what it decides. */
+class Leader(
+    val term: Term,
+    private val termRevision: Revision,
+    private val hold: HoldId,
+    private val leadership: Leadership,
+    private val state: StateClient,
+    private val cloud: CloudClient,
+    private val workers: WorkerClient,
+    private val core: CoreSettings,
+    private val options: Options,
+    private val metrics: Metrics,
+    private val clock: ApiHost,
+    private val knownTypes: () -> List<MachineType>,
+    private val onTypes: (List<MachineType>) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger("leader")
+    private val signal = Channel<Unit>(Channel.CONFLATED)
+    private var work: Job? = null
+
+    /** Null until the picture is rebuilt from the state service. */
+    var scheduler: Scheduler? = null
+        private set
+
+    fun wake() {
+        signal.trySend(Unit)
+    }
+
+    /** Returns when the term is over. */
+    suspend fun run(): Unit = coroutineScope {
+        val all = launch {
+            launch { serve() }
+            launch { renew() }
+        }
+        work = all
+        all.join()
+    }
+
+    private fun end(reason: String) {
+        log.info("term {} ends: {}", term, reason)
+        leadership.resign()
+        work?.cancel()
+    }
+
+    private suspend fun renew() {
+        while (true) {
+            val sent = clock.now()
+            try {
+                if (!state.renewHold(hold, RENEW_TIMEOUT_MS)) {
+                    end("the hold has run out")
+                    return
+                }
+                leadership.renewed(sent)
+                delay(options.holdTtl.ms / 4)
+            } catch (e: IOException) {
+                log.debug("hold not renewed: {}", e.message)
+                delay(RENEW_RETRY_MS)
+            }
+            if (leadership.highestTerm > term) {
+                end("a later term is known")
+                return
+            }
+        }
+    }
+
+    private suspend fun serve(): Unit = coroutineScope {
+        val since = rebuild()
+        launch { followJobs(since) }
+        launch { watchCloud() }
+        decide(this)
+    }
+
+    // ---- rebuilding ------------------------------------------------------------------------------------------
+
+    private suspend fun rebuild(): Revision {
+        while (true) {
+            try {
+                val wallOffset = clock.wallMs() - clock.now().ms
+                val s = Scheduler(core, term, termRevision, clock.now(), wallOffset)
+                s.onTypes(knownTypes())
+                val since = state.list(Keys.JOBS) { page ->
+                    for (e in page) readJob(e) { ref, record -> s.restoreJob(ref, record, e.revision) }
+                }
+                state.list(Keys.LOGS) { page ->
+                    for (e in page) read(e) { s.restoreLog(e.key, LogRecord.of(it)) }
+                }
+                state.list(Keys.RENTS) { page ->
+                    for (e in page) read(e) { s.restoreRent(e.key, RentRecord.of(it), clock.now()) }
+                }
+                state.list(Keys.RELEASES) { page -> for (e in page) s.restoreRelease(Keys.releaseOf(e.key)) }
+                s.restored(clock.now())
+                scheduler = s
+                return since
+            } catch (e: IOException) {
+                log.debug("not rebuilt yet: {}", e.message)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    private inline fun read(entry: Wire.Entry, use: (Map<String, Any?>) -> Unit) {
+        try {
+            entry.value?.let(use)
+        } catch (e: MalformedException) {
+            log.error("record {} cannot be read: {}", entry.key, e.message)
+        }
+    }
+
+    private inline fun readJob(entry: Wire.Entry, use: (dewwing.protocol.JobRef, JobRecord) -> Unit) =
+        read(entry) { value -> Keys.jobOf(entry.key)?.let { ref -> use(ref, JobRecord.of(value)) } }
+
+    // ---- listening -------------------------------------------------------------------------------------------
+
+    private suspend fun followJobs(from: Revision) {
+        var since = from
+        while (true) {
+            try {
+                when (val result = state.follow(Keys.JOBS, since, Span(FOLLOW_MS))) {
+                    is FollowResult.Changes -> {
+                        result.entries.forEach(::jobChanged)
+                        since = result.revision
+                    }
+                    FollowResult.TooOld -> since = state.list(Keys.JOBS) { it.forEach(::jobChanged) }
+                }
+                wake()
+            } catch (e: IOException) {
+                log.debug("following jobs: {}", e.message)
+                delay(RETRY_MS)
+            } catch (e: MalformedException) {
+                log.warn("following jobs: {}", e.message)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    private fun jobChanged(entry: Wire.Entry) =
+        readJob(entry) { ref, record -> scheduler?.onJobEntry(ref, record, entry.revision, clock.now()) }
+
+    private suspend fun watchCloud() {
+        var typesAt = clock.now() + Span(-TYPES_EVERY_MS)
+        var stored: List<MachineType>? = null
+        while (true) {
+            try {
+                if ((clock.now() - typesAt).ms >= TYPES_EVERY_MS) {
+                    val types = cloud.machineTypes()
+                    typesAt = clock.now()
+                    onTypes(types)
+                    scheduler?.onTypes(types)
+                    if (stored == null) stored = storeTypes(types)
+                }
+                val list = cloud.machines()
+                scheduler?.onList(list, clock.now())
+            } catch (e: IOException) {
+                log.info("cloud: {}", e.message)
+            } catch (e: MalformedException) {
+                log.warn("cloud answered nonsense: {}", e.message)
+            }
+            delay(LIST_EVERY_MS)
+        }
+    }
+
+    private suspend fun storeTypes(types: List<MachineType>): List<MachineType>? = try {
+        val change = StateChange(
+            listOf(Keys.TERM to termRevision), listOf(Keys.TYPES to Wire.machineTypesMap(types)),
+        )
+        if (state.commit(change) is CommitResult.Applied) types else null
+    } catch (e: IOException) {
+        null
+    }
+
+    // ---- deciding --------------------------------------------------------------------------------------------
+
+    private suspend fun decide(scope: CoroutineScope) {
+        while (true) {
+            val s = scheduler ?: return
+            if (leadership.authority(clock.now(), state.failing) == Authority.FULL) {
+                val begun = System.nanoTime()
+                val until = begun + options.roundBudget.ms * 1_000_000
+                val effects = s.round(clock.now()) { System.nanoTime() < until }
+                metrics.round(System.nanoTime() - begun)
+                for (effect in effects) scope.launch { carryOut(s, effect) }
+            }
+            withTimeoutOrNull(ROUND_MAX_MS) { signal.receive() }
+            delay(ROUND_MIN_MS)
+        }
+    }
+
+    private suspend fun carryOut(s: Scheduler, effect: Effect) {
+        when (effect) {
+            is Effect.Write -> write(s, effect.change)
+            is Effect.Kill -> workers.kill(effect.endpoint, term, effect.session, effect.kills)
+            is Effect.Rent -> try {
+                s.onRented(effect.key, cloud.rent(effect.order), clock.now())
+            } catch (e: IOException) {
+                log.info("rental {} unanswered: {}", effect.order.ask, e.message)
+                s.onRentUnknown(effect.key, clock.now())
+            } catch (e: MalformedException) {
+                log.warn("rental {}: {}", effect.order.ask, e.message)
+                s.onRentUnknown(effect.key, clock.now())
+            }
+            is Effect.Release -> try {
+                cloud.release(effect.machines)
+                s.onReleased(effect.machines, clock.now())
+            } catch (e: IOException) {
+                log.info("release of {} unanswered: {}", effect.machines, e.message)
+                s.onReleaseUnknown(effect.machines, clock.now())
+            }
+        }
+        wake()
+    }
+
+    /** Repeats the change until its outcome is certain; a late copy of it fails on the term or on its own keys. */
+    private suspend fun write(s: Scheduler, change: StateChange) {
+        while (true) {
+            try {
+                when (val result = state.commit(change)) {
+                    is CommitResult.Applied -> s.onWritten(result.revision, clock.now())
+                    is CommitResult.Conflict -> if (!s.onRefused(result.failed, clock.now())) end("the term's key changed")
+                    CommitResult.HoldEnded -> end("the hold has run out")
+                }
+                return
+            } catch (e: StateUnavailableException) {
+                log.debug("change not certain: {}", e.message)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    companion object {
+        private const val RENEW_TIMEOUT_MS = 700L
+        private const val RENEW_RETRY_MS = 150L
+        private const val RETRY_MS = 250L
+        private const val FOLLOW_MS = 15_000L
+        private const val LIST_EVERY_MS = 4_000L
+        private const val TYPES_EVERY_MS = 20_000L
+        private const val ROUND_MIN_MS = 60L
+        private const val ROUND_MAX_MS = 300L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/app/Metrics.kt
@@ -0,0 +1,37 @@
+package dewwing.control.app
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MultiGauge
+import io.micrometer.core.instrument.Tags
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+
+/** What operators can watch, on [PATH] of the serving address. */
+class Metrics {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val queue = MultiGauge.builder("dewwing.queue.tasks").description("Tasks waiting, by class").register(registry)
+    private val machines = MultiGauge.builder("dewwing.machines").description("Machines by state").register(registry)
+    private val rounds = registry.timer("dewwing.round")
+
+    fun called(service: String, call: String, outcome: String) =
+        registry.counter("dewwing.calls", "service", service, "call", call, "outcome", outcome).increment()
+
+    fun answered(path: String, status: Int) =
+        registry.counter("dewwing.answers", "path", path, "status", status.toString()).increment()
+
+    fun round(nanos: Long) = rounds.record(nanos, java.util.concurrent.TimeUnit.NANOSECONDS)
+
+    fun gauge(name: String, description: String, value: () -> Number) {
+        Gauge.builder(name, value).description(description).register(registry)
+    }
+
+    fun scrape(queueByClass: Map<String, Int>, machinesByState: Map<String, Int>): String {
+        queue.register(queueByClass.map { MultiGauge.Row.of(Tags.of("class", it.key), it.value) }, true)
+        machines.register(machinesByState.map { MultiGauge.Row.of(Tags.of("state", it.key), it.value) }, true)
+        return registry.scrape()
+    }
+
+    companion object {
+        const val PATH = "/metrics"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -0,0 +1,710 @@
+package dewwing.control.core
+
+import dewwing.control.core.fleet.Fleet
+import dewwing.control.core.fleet.Machine
+import dewwing.control.core.fleet.ReleaseStage
+import dewwing.control.core.intent.JobRecord
+import dewwing.control.core.intent.Keys
+import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.Ranges
+import dewwing.control.core.intent.RentRecord
+import dewwing.control.core.job.Attempt
+import dewwing.control.core.job.AttemptPhase
+import dewwing.control.core.job.Job
+import dewwing.control.core.placement.Placement
+import dewwing.control.core.placement.Placer
+import dewwing.control.core.quota.Quota
+import dewwing.protocol.Command
+import dewwing.protocol.EndCause
+import dewwing.protocol.Endpoint
+import dewwing.protocol.Instant
+import dewwing.protocol.JobRef
+import dewwing.protocol.JobStage
+import dewwing.protocol.ListedMachine
+import dewwing.protocol.ListedStage
+import dewwing.protocol.MachineId
+import dewwing.protocol.MachineType
+import dewwing.protocol.Report
+import dewwing.protocol.ReportedTask
+import dewwing.protocol.Resources
+import dewwing.protocol.Revision
+import dewwing.protocol.Span
+import dewwing.protocol.Step
+import dewwing.protocol.Term
+import dewwing.protocol.TaskStage
+import org.slf4j.LoggerFactory
+import java.util.BitSet
+
+/** Display counts of an open job. */
+data class JobCounts(val stage: JobStage, val done: Int, val running: Int)
+
+/**
+ * The leader's mind for one term: events in, effects out, no clock and no input or output of its own.
+ *
+ * One rule carries the rest: a task may be started only when no earlier start of it can be on a machine. An
+ * [Attempt] exists from before its log record is written until it is *proven* gone, holds its place in the machine,
+ * the team's limit and the zone rules all that time, and is launched at most once.
+ */
+class Scheduler(
+    private val settings: CoreSettings,
+    val term: Term,
+    private val termRevision: Revision,
+    private val startedAt: Instant,
+    /** Time of day less steady time; used for the age of jobs only. */
+    private val wallOffsetMs: Long,
+) {
+    private val log = LoggerFactory.getLogger("scheduler")
+    private val tunables = settings.tunables
+    private val jobs = LinkedHashMap<JobRef, Job>()
+    private val closed = ArrayDeque<Job>()
+    private val machines = LinkedHashMap<MachineId, Machine>()
+    private val types = LinkedHashMap<String, MachineType>()
+    private val quota = Quota(settings.teams)
+    private val writes = TokenBucket(
+        settings.state.writesPerS * tunables.writeShare,
+        maxOf(1.0, settings.state.writesPerS * tunables.writeShare),
+    )
+    private var orphanLogs = ArrayList<String>()
+    private val gcQueue = ArrayDeque<Pair<Instant, String>>()
+    private var batch: Batch? = null
+    private var nextBatch = 1L
+    private val effects = ArrayList<Effect>()
+    private val fleet = Fleet(settings, term, machines, types, quota)
+
+    /** Older leaders' answers may keep a worker's lease alive until then. */
+    private val olderLeadersUntil = startedAt + tunables.outageBound
+    private val leaseSpan = Span((settings.workers.lease.ms * LEASE_DRIFT).toLong() + LEASE_SLACK_MS)
+
+    private var ranked: List<Job>? = null
+    private var resumeAfter: JobRef? = null
+
+    // ---- rebuilding from the state service -------------------------------------------------------------------
+
+    fun restoreJob(ref: JobRef, record: JobRecord, revision: Revision) {
+        val spec = record.spec ?: return
+        if (record.stage == JobStage.DONE) return
+        val job = Job(spec, revision, record.submittedAtMs)
+        if (record.isFinal) {
+            job.final = record.stage
+            job.finalAt = startedAt
+        }
+        jobs[ref] = job
+    }
+
+    /** Log records must come in the order of their keys: the last placement of a task is the one that counts. */
+    fun restoreLog(key: String, record: LogRecord) {
+        val (ref, step) = Keys.logOf(key) ?: return
+        val job = jobs[ref]
+        if (job == null) {
+            orphanLogs.add(key)
+            return
+        }
+        job.nextStep = maxOf(job.nextStep, step.value + 1)
+        job.logSteps.add(step)
+        for (placed in record.placed) {
+            val machine = machines.getOrPut(placed.machine) { Machine(placed.machine, startedAt) }
+            var task = placed.tasks.nextSetBit(0)
+            while (task in 0 until job.spec.tasks) {
+                job.live.get(task)?.let { drop(it, startedAt) }
+                if (!job.done[task]) attach(Attempt(job, task, step, machine, AttemptPhase.INHERITED))
+                task = placed.tasks.nextSetBit(task + 1)
+            }
+        }
+        var task = record.done.nextSetBit(0)
+        while (task >= 0) {
+            job.live.get(task)?.takeIf { !job.isGang }?.let { drop(it, startedAt) }
+            task = record.done.nextSetBit(task + 1)
+        }
+        job.restoreDone(record.done)
+    }
+
+    fun restoreRent(key: String, record: RentRecord, now: Instant) = fleet.restoreRent(key, record, now)
+
+    fun restoreRelease(id: MachineId) {
+        machines.getOrPut(id) { Machine(id, startedAt) }.release = ReleaseStage.LOGGED
+        fleet.releaseLogged(id)
+    }
+
+    fun restored(now: Instant) {
+        for (key in orphanLogs) gcQueue.addLast((now + tunables.logLife) to key)
+        orphanLogs = ArrayList()
+        for (job in jobs.values.filter { !it.isOpen }) {
+            for (a in job.live.values) kill(a, 0.0)
+            close(job, now)
+        }
+        val inherited = machines.values.sumOf { it.attempts.size }
+        log.info("term {}: rebuilt {} open jobs, {} possible tasks", term, jobs.size, inherited)
+    }
+
+    // ---- events ----------------------------------------------------------------------------------------------
+
+    fun onTypes(list: List<MachineType>) {
+        types.clear()
+        for (t in list) types[t.name] = t
+        for (m in machines.values) m.type?.let { m.type = types[it.name] ?: it }
+    }
+
+    val knownTypes: Collection<MachineType> get() = types.values
+
+    /** A job's key changed; our own changes come by here too. */
+    fun onJobEntry(ref: JobRef, record: JobRecord, revision: Revision, now: Instant) {
+        val job = jobs[ref]
+        if (job == null) {
+            val spec = record.spec ?: return
+            if (record.isFinal || closed.any { it.ref == ref }) return
+            jobs[ref] = Job(spec, revision, record.submittedAtMs)
+            ranked = null
+            log.info("job {} accepted: class {}, {} tasks, team {}", ref, spec.jobClass, spec.tasks, spec.team)
+            return
+        }
+        if (revision < job.revision) return
+        job.revision = revision
+        if (record.isFinal && job.isOpen) finish(job, record.stage, now)
+    }
+
+    /** Jobs that a full read did not contain any more cannot be: records are never removed. */
+    private fun finish(job: Job, stage: JobStage, now: Instant) {
+        job.final = stage
+        job.finalAt = now
+        log.info("job {} {}", job.ref, if (stage == JobStage.DONE) "done" else "cancelled")
+        for (attempt in job.live.values.toList()) {
+            if (attempt.neverSent) drop(attempt, now) else kill(attempt, 0.0)
+        }
+        close(job, now)
+    }
+
+    private fun close(job: Job, now: Instant) {
+        jobs.remove(job.ref)
+        closed.addLast(job)
+        ranked = null
+        for (step in job.logSteps) gcQueue.addLast((now + tunables.logLife) to Keys.log(job.ref, step))
+    }
+
+    /** A worker's report; the commands go into its answer. */
+    fun onReport(report: Report, now: Instant, mayStart: Boolean): List<Command> {
+        val m = machines.getOrPut(report.machine) {
+            log.info("machine {} adopted: {} in {}", report.machine, report.type, report.zone)
+            Machine(report.machine, now)
+        }
+        // A late copy says nothing new, and its sender dropped the answer long ago.
+        if (m.release == ReleaseStage.GONE || report.position <= m.position) return emptyList()
+        if (report.position.session <= m.lapsedSession) return emptyList()
+        if (m.type == null) {
+            m.type = types[report.type]
+            m.zone = report.zone
+            m.spot = report.spot
+        }
+        if (!m.up) {
+            m.idleSince = now
+            fleet.cameUp(m, now)
+        }
+        val sameSession = report.position.session == m.position.session
+        m.position = report.position
+        m.endpoint = Endpoint.parse(report.endpoint)
+        m.lastAnswered = now
+        m.up = true
+        if (!sameSession) m.images.clear()
+        // A report that carries our term was sent after the worker learned it: older leaders' answers are void now.
+        m.settled = report.term >= term
+        m.noticeAt = report.noticeS?.let { now + Span.ofSeconds(it) }
+        val commands = ArrayList<Command>()
+        readTasks(m, report, now, commands)
+        if (m.noticeAt != null) drain(m, now)
+        for (a in m.attempts.values) {
+            val grace = a.killGraceS ?: continue
+            if (!a.neverSent && commands.size < MAX_COMMANDS) {
+                a.killAnnounced = true
+                commands.add(Command.Kill(a.ref, a.number, grace))
+            }
+        }
+        if (mayStart && m.accepts) launch(m, report, now, commands)
+        return commands
+    }
+
+    private fun readTasks(m: Machine, report: Report, now: Instant, commands: MutableList<Command>) {
+        val listed = HashSet<Pair<Any, Step>>(report.tasks.size * 2)
+        for (t in report.tasks) {
+            listed.add(t.task to t.attempt)
+            val known = m.attempts[t.task]?.takeIf { it.number == t.attempt }
+            if (t.stage == TaskStage.ENDED) ended(m, t, known, now, commands) else present(m, t, known, now, commands)
+        }
+        for (a in m.attempts.values.toList()) {
+            if ((a.ref to a.number) in listed) continue
+            val gone = when (a.phase) {
+                AttemptPhase.LOGGING, AttemptPhase.READY -> false
+                // Only a report made after the one whose answer carried the launch can miss it for good.
+                AttemptPhase.SENT -> a.sentIn?.let { it < report.position } ?: true
+                AttemptPhase.SEEN -> true
+                AttemptPhase.INHERITED -> m.settled
+            }
+            if (gone) {
+                log.debug("task {} try {} is not on {} any more", a.ref, a.number, m.id)
+                lost(a, now)
+            }
+        }
+    }
+
+    private fun present(m: Machine, t: ReportedTask, known: Attempt?, now: Instant, commands: MutableList<Command>) {
+        val job = jobs[t.task.job]
+        var a = known
+        if (a == null) {
+            if (job != null && !job.isGang && t.task.index < job.spec.tasks && job.pending[t.task.index] &&
+                m.attempts[t.task] == null
+            ) {
+                // It is there, whatever our records say: take it as the task's one start.
+                a = Attempt(job, t.task.index, t.attempt, m, AttemptPhase.SEEN)
+                job.nextStep = maxOf(job.nextStep, t.attempt.value + 1)
+                attach(a)
+            } else {
+                commands.add(Command.Kill(t.task, t.attempt, 0.0))
+                return
+            }
+        }
+        a.phase = AttemptPhase.SEEN
+        a.stage = t.stage
+        if (t.stage != TaskStage.FETCHING) m.sawImage(a.job.spec.image)
+        if (t.stage == TaskStage.RUNNING && a.runningSince == null) {
+            a.runningSince = now
+            fleet.started(a, now)
+        }
+    }
+
+    private fun ended(m: Machine, t: ReportedTask, known: Attempt?, now: Instant, commands: MutableList<Command>) {
+        val job = jobs[t.task.job]
+        val index = t.task.index
+        if (t.cause == EndCause.DONE && job != null && index < job.spec.tasks) {
+            if (job.isGang) for (i in 0 until job.spec.tasks) job.markDone(i, now) else job.markDone(index, now)
+        }
+        if (known != null) {
+            when (t.cause) {
+                EndCause.DONE -> {
+                    fleet.finished(known, now)
+                    drop(known, now)
+                }
+                EndCause.ERROR -> {
+                    log.info("task {} failed on {}", known.ref, m.id)
+                    blame(m, known.job, now)
+                    lost(known, now)
+                }
+                EndCause.NO_ROOM, EndCause.IN_USE, EndCause.UNKNOWN_JOB, EndCause.INCOMPLETE -> {
+                    log.info("task {} refused by {}: {}", known.ref, m.id, t.cause)
+                    known.job.failed(now)
+                    lost(known, now)
+                }
+                else -> lost(known, now)
+            }
+        }
+        // What finished stays on the worker until its result is written: only then may it be forgotten.
+        val unwritten = t.cause == EndCause.DONE && job != null && index < job.spec.tasks && !job.doneLogged[index]
+        if (!unwritten && commands.size < MAX_COMMANDS) commands.add(Command.Reap(t.task, t.attempt))
+    }
+
+    private fun launch(m: Machine, report: Report, now: Instant, commands: MutableList<Command>) {
+        for (a in m.attempts.values.toList()) {
+            if (a.phase != AttemptPhase.READY) continue
+            if (!a.job.isOpen || a.killGraceS != null) {
+                drop(a, now)
+                continue
+            }
+            if (commands.size >= MAX_COMMANDS) return
+            a.phase = AttemptPhase.SENT
+            a.sentIn = report.position
+            commands.add(Command.Launch(a.ref, a.number))
+        }
+    }
+
+    /** Errors of many jobs mark the machine, errors on many machines mark the job. */
+    private fun blame(m: Machine, job: Job, now: Instant) {
+        job.failed(now)
+        job.failedOn.add(m.id.value)
+        if (job.failedOn.size <= JOB_FAULT_MACHINES) m.failedJobs.add(job.ref.value)
+        if (m.failedJobs.size >= FAULTY_AFTER_JOBS && !m.faulty) {
+            log.info("machine {} is taken for faulty: {} jobs failed on it", m.id, m.failedJobs.size)
+            m.faulty = true
+        }
+    }
+
+    /** The cloud takes the machine back: what can save does so now, the rest runs on as long as it can. */
+    private fun drain(m: Machine, now: Instant) {
+        val left = (m.noticeAt ?: return) - now
+        for (a in m.attempts.values.toList()) {
+            if (a.neverSent) {
+                drop(a, now)
+                continue
+            }
+            val spec = a.job.spec
+            if (spec.checkpointS > 0 && a.killGraceS == null && a.stage == TaskStage.RUNNING) {
+                kill(a, minOf(maxOf(spec.saveS, left.seconds - 1.0), maxOf(spec.saveS, left.seconds)))
+            }
+        }
+    }
+
+    fun onList(list: List<ListedMachine>, now: Instant) {
+        for (l in list) {
+            val m = machines.getOrPut(l.id) {
+                Machine(l.id, now).also { it.rentedAt = Instant(now.ms - (l.ageS * 1000).toLong()) }
+            }
+            if (m.type == null) {
+                m.type = types[l.type]
+                m.zone = l.zone
+                m.spot = l.spot
+            }
+            m.lastListed = now
+            m.listedFailed = l.stage == ListedStage.FAILED
+        }
+        for (m in machines.values.toList()) {
+            val stale = now - (m.lastListed ?: m.knownSince) > Span(settings.cloud.listLag.ms * 3 + FORGET_MS)
+            if (stale && !m.up && m.attempts.isEmpty() && m.release != ReleaseStage.LOGGED) machines.remove(m.id)
+        }
+    }
+
+    /** [rented] is null when there was no capacity; no call at all when the outcome is unknown. */
+    fun onRented(key: String, rented: List<MachineId>?, now: Instant) = fleet.onRented(key, rented, now)
+
+    fun onRentUnknown(key: String, now: Instant) = fleet.onRentUnknown(key, now)
+
+    fun onReleaseUnknown(ids: List<MachineId>, now: Instant) = fleet.onReleaseUnknown(ids, now)
+
+    /** The cloud confirmed: the machines and everything on them are gone. */
+    fun onReleased(ids: List<MachineId>, now: Instant) {
+        for (id in ids) {
+            val m = machines[id] ?: continue
+            m.release = ReleaseStage.GONE
+            m.up = false
+            for (a in m.attempts.values.toList()) lost(a, now)
+            fleet.released(id, now)
+        }
+    }
+
+    // ---- attempts --------------------------------------------------------------------------------------------
+
+    private fun attach(a: Attempt) {
+        a.job.attach(a)
+        a.machine.attach(a)
+        quota.add(a.job)
+    }
+
+    private fun drop(a: Attempt, now: Instant) {
+        if (a.machine.attempts[a.ref] !== a) return
+        a.machine.detach(a, now)
+        a.job.detach(a)
+        quota.remove(a.job)
+    }
+
+    /** Gone without having finished. A gang that lost one is started anew once all of it is gone. */
+    private fun lost(a: Attempt, now: Instant) {
+        drop(a, now)
+        val job = a.job
+        if (!job.isGang || !job.isOpen || job.isComplete) return
+        for (other in job.live.values.toList()) if (other.neverSent) drop(other, now) else kill(other, 0.0)
+    }
+
+    private fun kill(a: Attempt, graceS: Double) {
+        val before = a.killGraceS
+        if (before != null && before <= graceS) return
+        a.killGraceS = graceS
+        val endpoint = a.machine.endpoint ?: return
+        if (!a.machine.up || a.neverSent) return
+        effects.add(
+            Effect.Kill(a.machine.id, endpoint, a.machine.position.session, listOf(Command.Kill(a.ref, a.number, graceS))),
+        )
+    }
+
+    /** Lets leases run out: without an answer from us since then, the worker has killed everything it had. */
+    private fun lapse(now: Instant) {
+        for (m in machines.values) {
+            if (!m.up && m.attempts.isEmpty()) continue
+            val answered = maxOf(m.lastAnswered, olderLeadersUntil)
+            var deadline = answered + leaseSpan
+            val relaunch = startedAt + tunables.relaunchWait
+            if (m.lastAnswered == Instant.NEVER && relaunch > deadline) deadline = relaunch
+            if (now <= deadline) continue
+            log.info("machine {} is silent: its lease has run out with {} tasks", m.id, m.attempts.size)
+            m.up = false
+            m.settled = false
+            m.lapsedSession = m.position.session
+            m.lapsedAt = now
+            m.images.clear()
+            for (a in m.attempts.values.toList()) lost(a, now)
+        }
+    }
+
+    // ---- rounds ----------------------------------------------------------------------------------------------
+
+    private class Batch(val id: Long) {
+        val conditions = LinkedHashMap<String, Revision>()
+        val puts = ArrayList<Pair<String, Map<String, Any?>>>()
+        val removes = ArrayList<String>()
+        val onApplied = ArrayList<(Revision) -> Unit>()
+        val onRefused = ArrayList<() -> Unit>()
+
+        /** Keys only this change can have created: finding one means that it was applied. */
+        val own = HashSet<String>()
+        var bytes = 0
+        val ops: Int get() = puts.size + removes.size
+    }
+
+    /** One decision round; [mayGoOn] is the caller's time budget. Returns what is to be done outside. */
+    fun round(now: Instant, mayGoOn: () -> Boolean): List<Effect> {
+        lapse(now)
+        if (batch == null) compose(now, mayGoOn)
+        effects.addAll(fleet.takeEffects(now))
+        val out = effects.toList()
+        effects.clear()
+        return out
+    }
+
+    private fun compose(now: Instant, mayGoOn: () -> Boolean) {
+        val b = Batch(nextBatch++)
+        val room = minOf(settings.state.opsPerCommit, writes.available(now).toInt())
+        if (room <= 0) return
+        for (job in jobs.values) {
+            if (b.ops >= room) break
+            if (job.isComplete) closeDone(b, job, now)
+        }
+        addFleetWrites(b, room, now)
+        placeAll(b, room, now, mayGoOn)
+        fleet.plan(now, ranking(), now.ms + wallOffsetMs)
+        for (job in jobs.values) {
+            if (b.ops >= room) break
+            val since = job.unloggedSince ?: continue
+            if (now - since >= DONE_LOG_DELAY && !job.isComplete && Keys.job(job.ref) !in b.conditions) {
+                logStep(b, job, emptyList(), now)
+            }
+        }
+        collectGarbage(b, room, now)
+        if (b.ops == 0) return
+        b.conditions[Keys.TERM] = termRevision
+        writes.tryTake(now, b.ops.toDouble())
+        batch = b
+        effects.add(Effect.Write(StateChange(b.conditions.toList(), b.puts, b.removes)))
+    }
+
+    private fun closeDone(b: Batch, job: Job, now: Instant) {
+        val value = JobRecord(JobStage.DONE, null, job.submittedAtMs).toValue()
+        b.conditions[Keys.job(job.ref)] = job.revision
+        b.puts.add(Keys.job(job.ref) to value)
+        b.onApplied.add { revision ->
+            job.revision = revision
+            if (job.isOpen) finish(job, JobStage.DONE, now)
+        }
+    }
+
+    private fun addFleetWrites(b: Batch, room: Int, now: Instant) {
+        for (m in fleet.releasesWanted()) {
+            if (b.ops >= room) break
+            b.puts.add(Keys.release(m.id) to mapOf("at" to term.value))
+            b.onApplied.add {
+                m.release = ReleaseStage.LOGGED
+                fleet.releaseLogged(m.id)
+            }
+            b.onRefused.add { m.release = ReleaseStage.WANTED }
+        }
+        for ((key, record) in fleet.rentWrites()) {
+            if (b.ops >= room) break
+            if (record.rented == null) {
+                b.conditions[key] = Revision.ABSENT
+                b.own.add(key)
+            }
+            b.puts.add(key to record.toValue())
+            b.onApplied.add { fleet.rentWritten(key, record) }
+        }
+    }
+
+    /** Places jobs in rank order, going on after the job where the last round's budget ended. */
+    private fun placeAll(b: Batch, room: Int, now: Instant, mayGoOn: () -> Boolean) {
+        val order = ranking()
+        val usable = machines.values.filterTo(ArrayList()) { it.accepts }
+        val from = resumeAfter?.let { ref -> order.indexOfFirst { it.ref == ref } + 1 } ?: 0
+        resumeAfter = null
+        for (i in from until order.size) {
+            val job = order[i]
+            if (b.ops >= room) return
+            if (!mayGoOn()) {
+                resumeAfter = order.getOrNull(i - 1)?.ref
+                return
+            }
+            if (job.pending.isEmpty || !job.isOpen || job.isComplete || now < job.notBefore) continue
+            if (Keys.job(job.ref) in b.conditions) continue
+            val placements = choose(job, usable)
+            if (placements.isEmpty()) {
+                // Lower ranks must not take the machine that this gang is next to get.
+                if (job.isGang && job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) reserve(job, usable)
+                continue
+            }
+            logStep(b, job, placements, now)
+        }
+    }
+
+    private fun choose(job: Job, usable: List<Machine>): List<Placement> {
+        if (job.isGang && job.live.isNotEmpty()) return emptyList()
+        val pending = if (job.isGang) job.spec.tasks else job.pending.cardinality()
+        var limit = minOf(pending, quota.room(job.spec), MAX_TASKS_PER_STEP)
+        if (job.isGang && limit < job.spec.tasks) limit = 0
+        if (limit == 0) {
+            wait(job, "its team's limit")
+            return emptyList()
+        }
+        val useful = Placer.usefulTypes(job.spec, types.values).mapTo(HashSet()) { it.name }
+        val candidates = usable.filter { m ->
+            m.type?.name in useful && Placer.machineAllowed(job.spec, m) && m.id.value !in job.failedOn
+        }
+        val placements = Placer.place(job, candidates, limit)
+        if (placements.isEmpty()) wait(job, "a machine with room")
+        return placements
+    }
+
+    private fun wait(job: Job, reason: String) {
+        if (job.waitReason == reason) return
+        job.waitReason = reason
+        log.info("job {} waits for {}", job.ref, reason)
+    }
+
+    private fun reserve(job: Job, usable: MutableList<Machine>) {
+        var missing = job.spec.tasks
+        val fitting = usable.filter { Placer.machineAllowed(job.spec, it) }
+            .sortedBy { it.attempts.size }
+        for (m in fitting) {
+            if (missing <= 0) return
+            missing -= m.type?.size?.slots(job.spec.need) ?: 0
+            usable.remove(m)
+        }
+    }
+
+    /** One step: the placements and the finished tasks not yet recorded, as far as one record holds them. */
+    private fun logStep(b: Batch, job: Job, placements: List<Placement>, now: Instant) {
+        val step = job.takeStep()
+        val limit = settings.state.valueBytes - RECORD_SLACK
+        var left = limit
+        val attempts = ArrayList<Attempt>()
+        val placed = ArrayList<LogRecord.Placed>()
+        var next = job.pending.nextSetBit(0)
+        for (p in placements) {
+            val tasks = BitSet()
+            var count = p.count
+            while (count > 0 && next >= 0) {
+                tasks.set(next)
+                next = job.pending.nextSetBit(next + 1)
+                count--
+            }
+            val size = p.machine.id.value.length + 10 + Ranges.size(tasks)
+            if (size > left) break
+            left -= size
+            placed.add(LogRecord.Placed(p.machine.id, tasks))
+            var t = tasks.nextSetBit(0)
+            while (t >= 0) {
+                attempts.add(Attempt(job, t, step, p.machine, AttemptPhase.LOGGING))
+                t = tasks.nextSetBit(t + 1)
+            }
+        }
+        if (job.isGang && attempts.size < job.spec.tasks && placements.isNotEmpty()) {
+            wait(job, "a record that can hold the gang")
+            return
+        }
+        for (a in attempts) attach(a)
+        val done = Ranges.fitting(job.unlogged(), left)
+        val key = Keys.log(job.ref, step)
+        b.conditions[Keys.job(job.ref)] = job.revision
+        b.conditions[key] = Revision.ABSENT
+        b.own.add(key)
+        b.puts.add(key to LogRecord(placed, done).toValue())
+        if (attempts.isNotEmpty()) job.waitReason = null
+        b.onApplied.add {
+            job.logSteps.add(step)
+            if (!job.isOpen) gcQueue.addLast((now + tunables.logLife) to key)
+            job.doneLogged.or(done)
+            job.unloggedSince = if (job.unlogged().isEmpty) null else now
+            for (a in attempts) if (a.phase == AttemptPhase.LOGGING) a.phase = AttemptPhase.READY
+            if (attempts.isNotEmpty()) log.info("job {} step {}: {} tasks placed", job.ref, step, attempts.size)
+        }
+        b.onRefused.add { for (a in attempts) if (a.neverSent) drop(a, now) }
+    }
+
+    private fun collectGarbage(b: Batch, room: Int, now: Instant) {
+        // Logs are dropped with what intake and placement leave over.
+        if (b.ops > 0 && writes.available(now) < room + 1) return
+        while (b.ops < room) {
+            val (due, key) = gcQueue.firstOrNull() ?: break
+            if (due > now) break
+            gcQueue.removeFirst()
+            b.removes.add(key)
+            b.onRefused.add { gcQueue.addFirst(due to key) }
+        }
+        for (key in fleet.recordsToDrop(now)) {
+            if (b.ops >= room) break
+            b.removes.add(key)
+            b.onApplied.add { fleet.recordDropped(key) }
+        }
+        while (closed.isNotEmpty() && now - (closed.first().finalAt ?: now) > tunables.logLife &&
+            closed.first().live.isEmpty()
+        ) closed.removeFirst()
+    }
+
+    fun onWritten(revision: Revision, now: Instant) {
+        val b = batch ?: return
+        batch = null
+        for (f in b.onApplied) f(revision)
+    }
+
+    /**
+     * Refused on [failed] keys. False when our term is over. A failed key that only this change can have created
+     * means that an earlier, unanswered copy of it was applied.
+     */
+    fun onRefused(failed: List<String>, now: Instant): Boolean {
+        val b = batch ?: return true
+        batch = null
+        if (Keys.TERM in failed) return false
+        if (failed.any { it in b.own }) {
+            for (f in b.onApplied) f(Revision(0))
+        } else {
+            for (f in b.onRefused) f()
+        }
+        return true
+    }
+
+    private fun ranking(): List<Job> {
+        ranked?.let { return it }
+        val inOrder = jobs.values.sortedWith(compareBy({ it.submittedAtMs }, { it.ref.value }))
+        val guaranteed = quota.guaranteed(inOrder)
+        val order = inOrder.sortedWith(compareBy({ if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal }))
+        ranked = order
+        return order
+    }
+
+    // ---- looking in ------------------------------------------------------------------------------------------
+
+    fun counts(ref: JobRef): JobCounts? {
+        val job = jobs[ref] ?: return null
+        val running = job.runningCount()
+        return JobCounts(if (running > 0) JobStage.RUNNING else JobStage.QUEUED, job.doneCount, running)
+    }
+
+    fun queueByClass(): Map<String, Int> =
+        jobs.values.groupBy { it.spec.jobClass }.mapValues { (_, l) -> l.sumOf { it.pending.cardinality() } }
+
+    fun machinesByState(): Map<String, Int> = machines.values.groupingBy {
+        when {
+            it.release == ReleaseStage.GONE -> "gone"
+            it.release != ReleaseStage.NONE -> "releasing"
+            it.up && it.attempts.isEmpty() -> "idle"
+            it.up -> "busy"
+            it.lapsedAt != null -> "silent"
+            else -> "starting"
+        }
+    }.eachCount()
+
+    companion object {
+        /** Two steady clocks may drift apart by 0.05%; twice that, since both may be off. */
+        private const val LEASE_DRIFT = 1.001
+
+        /** Timers fire in steps of milliseconds. */
+        private const val LEASE_SLACK_MS = 250L
+        private const val MAX_COMMANDS = 400
+        private const val MAX_TASKS_PER_STEP = 1_000
+        private const val RECORD_SLACK = 64
+        private const val FAULTY_AFTER_JOBS = 2
+        private const val JOB_FAULT_MACHINES = 3
+        private const val FORGET_MS = 60_000L
+        private val DONE_LOG_DELAY = Span(2_000)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -0,0 +1,343 @@
+package dewwing.control.core.fleet
+
+import dewwing.control.core.CoreSettings
+import dewwing.control.core.Effect
+import dewwing.control.core.RentOrder
+import dewwing.control.core.intent.Keys
+import dewwing.control.core.intent.RentRecord
+import dewwing.control.core.job.Attempt
+import dewwing.control.core.job.Job
+import dewwing.control.core.placement.Placer
+import dewwing.control.core.quota.Quota
+import dewwing.protocol.Instant
+import dewwing.protocol.JobSpec
+import dewwing.protocol.MachineId
+import dewwing.protocol.MachineType
+import dewwing.protocol.Resources
+import dewwing.protocol.Span
+import dewwing.protocol.Term
+import org.slf4j.LoggerFactory
+import kotlin.math.ceil
+
+/** The machines that are wanted, and the rentals and releases that lead there. */
+class Fleet(
+    private val settings: CoreSettings,
+    private val term: Term,
+    private val machines: MutableMap<MachineId, Machine>,
+    private val types: Map<String, MachineType>,
+    private val quota: Quota,
+) {
+    private val log = LoggerFactory.getLogger("fleet")
+    private val tunables = settings.tunables
+
+    private enum class RentStage { TO_LOG, TO_ASK, ASKED, ANSWERED, WRITTEN }
+
+    private class Rental(var record: RentRecord, var stage: RentStage, var notBefore: Instant, val since: Instant)
+
+    private data class Market(val type: String, val zone: String, val spot: Boolean)
+
+    private val rentals = LinkedHashMap<String, Rental>()
+    private val refusedUntil = HashMap<Market, Instant>()
+    private val refusals = HashMap<Market, Int>()
+    private val releasesLogged = LinkedHashMap<MachineId, Instant>()
+    private val dropRecords = LinkedHashSet<String>()
+    private var nextRental = 1L
+    private var planAt = Instant.NEVER
+
+    // ---- events ----------------------------------------------------------------------------------------------
+
+    fun restoreRent(key: String, record: RentRecord, now: Instant) {
+        val stage = if (record.rented == null) RentStage.TO_ASK else RentStage.WRITTEN
+        rentals[key] = Rental(record, stage, now, now)
+        record.rented?.forEach { machineOf(it, record.order, now) }
+    }
+
+    fun releaseLogged(id: MachineId) {
+        releasesLogged[id] = Instant.NEVER
+    }
+
+    fun released(id: MachineId, now: Instant) {
+        log.info("machine {} returned", id)
+        releasesLogged.remove(id)
+        dropRecords.add(Keys.release(id))
+    }
+
+    fun cameUp(machine: Machine, now: Instant) {
+        log.info("machine {} is up: {}{} in {}", machine.id, machine.type?.name, if (machine.spot) " (spot)" else "", machine.zone)
+    }
+
+    fun started(attempt: Attempt, now: Instant) = Unit
+
+    fun finished(attempt: Attempt, now: Instant) = Unit
+
+    fun onRented(key: String, rented: List<MachineId>?, now: Instant) {
+        val rental = rentals[key] ?: return
+        val order = rental.record.order
+        val market = Market(order.type, order.zone, order.spot)
+        if (rented == null || rented.size < order.count) {
+            val count = (refusals[market] ?: 0) + 1
+            refusals[market] = count
+            refusedUntil[market] = now + Span(FIRST_REFUSAL_MS shl minOf(count - 1, MAX_REFUSAL_SHIFT))
+        } else {
+            refusals.remove(market)
+        }
+        if (rented == null) {
+            log.info("no capacity for {} {}{} in {}", order.count, order.type, if (order.spot) " (spot)" else "", order.zone)
+            rentals.remove(key)
+            dropRecords.add(key)
+            return
+        }
+        log.info("rented {} of {} {}{} in {}: {}", rented.size, order.count, order.type, if (order.spot) " (spot)" else "", order.zone, rented)
+        rental.record = RentRecord(order, rented)
+        rental.stage = RentStage.ANSWERED
+        rented.forEach { machineOf(it, order, now) }
+    }
+
+    /** No answer: the same order is asked again, under the same name. */
+    fun onRentUnknown(key: String, now: Instant) {
+        val rental = rentals[key] ?: return
+        rental.stage = RentStage.TO_ASK
+        rental.notBefore = now + tunables.collectorPeriod
+    }
+
+    fun onReleaseUnknown(ids: List<MachineId>, now: Instant) {
+        for (id in ids) if (id in releasesLogged) releasesLogged[id] = now + tunables.collectorPeriod
+    }
+
+    private fun machineOf(id: MachineId, order: RentOrder, now: Instant) {
+        val m = machines.getOrPut(id) { Machine(id, now) }
+        if (m.type == null) {
+            m.type = types[order.type]
+            m.zone = order.zone
+            m.spot = order.spot
+        }
+    }
+
+    // ---- what is to be written and done ----------------------------------------------------------------------
+
+    fun releasesWanted(): List<Machine> = machines.values.filter { it.release == ReleaseStage.WANTED }
+
+    fun rentWrites(): List<Pair<String, RentRecord>> = rentals.entries
+        .filter { it.value.stage == RentStage.TO_LOG || it.value.stage == RentStage.ANSWERED }
+        .map { it.key to it.value.record }
+
+    fun rentWritten(key: String, record: RentRecord) {
+        val rental = rentals[key] ?: return
+        if (record.rented != null) rental.stage = RentStage.WRITTEN
+        else if (rental.stage == RentStage.TO_LOG) rental.stage = RentStage.TO_ASK
+    }
+
+    /** Logged rentals and releases whose call is due. */
+    fun takeEffects(now: Instant): List<Effect> {
+        val out = ArrayList<Effect>()
+        for ((key, rental) in rentals) {
+            if (rental.stage != RentStage.TO_ASK || now < rental.notBefore) continue
+            rental.stage = RentStage.ASKED
+            out.add(Effect.Rent(key, rental.record.order))
+        }
+        val due = releasesLogged.filterValues { it <= now }.keys.take(MAX_RELEASE)
+        if (due.isNotEmpty()) {
+            for (id in due) releasesLogged[id] = Instant.FOREVER
+            out.add(Effect.Release(due))
+        }
+        return out
+    }
+
+    /** Answered rentals are kept until every list shows their machines. */
+    fun recordsToDrop(now: Instant): List<String> {
+        val keep = Span(settings.cloud.listLag.ms * 2 + RECORD_KEEP_MS)
+        for ((key, rental) in rentals) {
+            if (rental.stage == RentStage.WRITTEN && now - rental.since > keep) dropRecords.add(key)
+        }
+        return dropRecords.toList()
+    }
+
+    fun recordDropped(key: String) {
+        dropRecords.remove(key)
+        rentals.remove(key)
+    }
+
+    // ---- wanted state ----------------------------------------------------------------------------------------
+
+    /** Works out what is missing and what is too much; orders wait for their log record. */
+    fun plan(now: Instant, ranked: List<Job>, wallNowMs: Long) {
+        if (now - planAt < PLAN_EVERY) return
+        planAt = now
+        if (types.isEmpty()) return
+        val bins = bins(now)
+        for ((job, count) in demand(ranked, wallNowMs)) cover(job, count, bins, now)
+        retire(now, bins)
+    }
+
+    private class Bin(val type: MachineType, val zone: String, val spot: Boolean, var free: Resources, val machine: Machine?) {
+        var claimed = false
+    }
+
+    private fun bins(now: Instant): MutableList<Bin> {
+        val bins = ArrayList<Bin>()
+        for (m in machines.values) {
+            val type = m.type ?: continue
+            val booting = !m.up && m.lapsedAt == null && m.release == ReleaseStage.NONE && !m.listedFailed &&
+                (now - m.rentedAt).seconds < type.bootS * SLOW_START + LEEWAY_S
+            if (m.accepts || booting) bins.add(Bin(type, m.zone, m.spot, m.free, m))
+        }
+        for (r in rentals.values) {
+            if (r.stage > RentStage.ASKED) continue
+            val type = types[r.record.order.type] ?: continue
+            repeat(r.record.order.count) {
+                bins.add(Bin(type, r.record.order.zone, r.record.order.spot, type.size, null))
+            }
+        }
+        return bins
+    }
+
+    /**
+     * Tasks of each job that should get a place of their own now. Gangs: all. Arrays: as many places as let the
+     * class's jobs, oldest first, start in a share of the time their objectives give.
+     */
+    private fun demand(ranked: List<Job>, wallNowMs: Long): List<Pair<Job, Int>> {
+        val out = ArrayList<Pair<Job, Int>>()
+        val arrays = LinkedHashMap<String, MutableList<Job>>()
+        for (job in ranked) {
+            if (!job.isOpen || job.isComplete) continue
+            if (job.isGang) {
+                if (job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) out.add(job to job.spec.tasks)
+            } else {
+                arrays.getOrPut(job.spec.jobClass) { ArrayList() }.add(job)
+            }
+        }
+        for ((jobClass, list) in arrays) {
+            val horizon = horizonS(jobClass)
+            var work = 0.0
+            var places = 0.0
+            var live = 0
+            for (job in list.sortedBy { it.submittedAtMs }) {
+                val estimate = maxOf(1.0, job.spec.estimateS)
+                work += (job.spec.tasks - job.doneCount) * estimate
+                val age = (wallNowMs - job.submittedAtMs) / 1000.0
+                places = maxOf(places, work / maxOf(estimate, horizon - age))
+                live += job.live.size
+            }
+            var extra = ceil(places - 1e-9).toInt() - live
+            for (job in list) {
+                if (extra <= 0) break
+                val count = minOf(extra, job.pending.cardinality(), quota.room(job.spec))
+                if (count > 0) out.add(job to count)
+                extra -= count
+            }
+        }
+        return out
+    }
+
+    private fun horizonS(jobClass: String): Double {
+        val within = settings.objectives.filter { it.jobClass == jobClass }.minOfOrNull { it.withinS } ?: DEFAULT_HORIZON_S
+        return within * HORIZON_SHARE
+    }
+
+    private fun cover(job: Job, count: Int, bins: MutableList<Bin>, now: Instant) {
+        val spec = job.spec
+        var missing = count
+        for (bin in bins) {
+            if (missing <= 0) return
+            if (!allowed(spec, bin.type, bin.zone, bin.spot)) continue
+            val fit = minOf(missing, bin.free.slots(spec.need))
+            if (fit <= 0) continue
+            bin.free -= spec.need * fit
+            bin.claimed = true
+            missing -= fit
+        }
+        var tries = MAX_MARKETS
+        while (missing > 0 && tries-- > 0) {
+            val (type, zone, spot) = bestMarket(spec, missing, now) ?: return
+            val slots = type.size.slots(spec.need)
+            val number = minOf(ceil(missing / slots.toDouble()).toInt(), MAX_RENT)
+            order(type, zone, spot, number, now)
+            repeat(number) {
+                val bin = Bin(type, zone, spot, type.size, null)
+                val fit = minOf(missing, slots)
+                bin.free -= spec.need * fit
+                missing -= fit
+                bins.add(bin)
+            }
+        }
+    }
+
+    private fun allowed(spec: JobSpec, type: MachineType, zone: String, spot: Boolean): Boolean =
+        (spec.spot || !spot) && (spec.zone == null || spec.zone == zone) &&
+            Placer.usefulTypes(spec, types.values).any { it.name == type.name }
+
+    private fun bestMarket(spec: JobSpec, missing: Int, now: Instant): Triple<MachineType, String, Boolean>? {
+        var best: Triple<MachineType, String, Boolean>? = null
+        var bestCost = Double.MAX_VALUE
+        for (type in Placer.usefulTypes(spec, types.values)) {
+            val slots = type.size.slots(spec.need)
+            if (slots <= 0) continue
+            val number = ceil(missing / slots.toDouble())
+            for (zone in type.zones) {
+                if (spec.zone != null && spec.zone != zone) continue
+                for (spot in if (spec.spot) SPOT_FIRST else ORDINARY) {
+                    val market = Market(type.name, zone, spot)
+                    if ((refusedUntil[market] ?: Instant.NEVER) > now) continue
+                    val cost = number * if (spot) type.spotPrice else type.price
+                    if (cost < bestCost) {
+                        bestCost = cost
+                        best = Triple(type, zone, spot)
+                    }
+                }
+            }
+        }
+        return best
+    }
+
+    private fun order(type: MachineType, zone: String, spot: Boolean, count: Int, now: Instant) {
+        val step = term.value * TERM_STRIDE + nextRental++
+        val order = RentOrder("r-$step", type.name, zone, spot, count)
+        rentals[Keys.rent(step)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now)
+        log.info("wanted: {} {}{} in {}", count, type.name, if (spot) " (spot)" else "", zone)
+    }
+
+    private fun retire(now: Instant, bins: List<Bin>) {
+        val claimed = bins.filter { it.claimed }.mapNotNullTo(HashSet()) { it.machine?.id }
+        for (m in machines.values) {
+            if (m.release != ReleaseStage.NONE || m.attempts.isNotEmpty()) continue
+            val reason = reasonToReturn(m, now, m.id in claimed) ?: continue
+            log.info("machine {} is to be returned: {}", m.id, reason)
+            m.release = ReleaseStage.WANTED
+        }
+    }
+
+    private fun reasonToReturn(m: Machine, now: Instant, claimed: Boolean): String? {
+        val boot = m.type?.bootS ?: DEFAULT_BOOT_S
+        val lapsed = m.lapsedAt
+        return when {
+            m.listedFailed -> "it failed"
+            m.faulty -> "it is faulty"
+            m.noticeAt != null -> "the cloud takes it back"
+            m.up -> if (!claimed && now - m.idleSince > tunables.idleKeep) "it is idle" else null
+            lapsed != null -> if (now - lapsed > SILENT_KEEP) "it is silent" else null
+            (now - m.rentedAt).seconds > boot * GIVE_UP_START + LEEWAY_S && now - m.knownSince > SILENT_KEEP ->
+                "it does not come up"
+            else -> null
+        }
+    }
+
+    companion object {
+        private const val TERM_STRIDE = 100_000L
+        private const val MAX_RENT = 50
+        private const val MAX_RELEASE = 100
+        private const val MAX_MARKETS = 6
+        private const val FIRST_REFUSAL_MS = 5_000L
+        private const val MAX_REFUSAL_SHIFT = 3
+        private const val RECORD_KEEP_MS = 30_000L
+        private const val SLOW_START = 2.0
+        private const val GIVE_UP_START = 4.0
+        private const val LEEWAY_S = 10.0
+        private const val DEFAULT_BOOT_S = 60.0
+        private const val DEFAULT_HORIZON_S = 240.0
+        private const val HORIZON_SHARE = 0.5
+        private val PLAN_EVERY = Span(1_000)
+        private val SILENT_KEEP = Span(15_000)
+        private val SPOT_FIRST = listOf(true, false)
+        private val ORDINARY = listOf(false)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/core/intent/Records.kt
@@ -0,0 +1,158 @@
+package dewwing.control.core.intent
+
+import dewwing.control.core.RentOrder
+import dewwing.protocol.Fields
+import dewwing.protocol.JobRef
+import dewwing.protocol.JobSpec
+import dewwing.protocol.JobStage
+import dewwing.protocol.MachineId
+import dewwing.protocol.MalformedException
+import dewwing.protocol.Step
+import dewwing.protocol.Wire
+import java.util.BitSet
+
+/** Where everything is kept in the state service. */
+object Keys {
+    const val TERM = "term"
+
+    /** Tied to the leader's hold: its absence is what allows the next election. */
+    const val HOLDER = "term/holder"
+    const val JOBS = "job/"
+    const val LOGS = "log/"
+    const val RENTS = "rent/"
+    const val RELEASES = "release/"
+
+    /** The cloud's machine types as last seen, so that intake needs no cloud. */
+    const val TYPES = "cloud/types"
+
+    private const val STEP_DIGITS = 9
+
+    fun job(ref: JobRef): String = JOBS + ref.value
+    fun jobOf(key: String): JobRef? = JobRef.parse(key.removePrefix(JOBS))
+    fun log(ref: JobRef, step: Step): String = "$LOGS${ref.value}/${digits(step.value)}"
+    fun rent(step: Long): String = RENTS + digits(step)
+    fun release(machine: MachineId): String = RELEASES + machine.value
+    fun releaseOf(key: String): MachineId = MachineId(key.removePrefix(RELEASES))
+
+    fun logOf(key: String): Pair<JobRef, Step>? {
+        val parts = key.removePrefix(LOGS).split('/')
+        if (parts.size != 2) return null
+        return (JobRef.parse(parts[0]) ?: return null) to Step(parts[1].toLongOrNull() ?: return null)
+    }
+
+    private fun digits(n: Long) = n.toString().padStart(STEP_DIGITS, '0')
+}
+
+/**
+ * The intent record of a job. Once final it is kept for ever; a finished job needs its description no more, while a
+ * cancelled one keeps it until its last task is proven gone, since those still count against the team's limit.
+ */
+data class JobRecord(val stage: JobStage, val spec: JobSpec?, val submittedAtMs: Long) {
+    val isFinal: Boolean get() = stage == JobStage.DONE || stage == JobStage.ABORTED
+
+    fun toValue(): Map<String, Any?> {
+        val value = linkedMapOf<String, Any?>("stage" to Wire.stageWord(stage))
+        if (spec != null) value["spec"] = Wire.jobSpecMap(spec)
+        value["at"] = submittedAtMs
+        return value
+    }
+
+    companion object {
+        fun of(value: Map<String, Any?>): JobRecord {
+            val f = Fields(value)
+            return JobRecord(
+                Wire.stageOf(f.text("stage")) ?: throw MalformedException("stage"),
+                f.mapOrNull("spec")?.let(Wire::jobSpec),
+                f.countOr("at", 0),
+            )
+        }
+    }
+}
+
+/** One step of a job: what was placed under this attempt number, and which tasks had finished by then. */
+data class LogRecord(val placed: List<Placed>, val done: BitSet) {
+    data class Placed(val machine: MachineId, val tasks: BitSet)
+
+    fun toValue(): Map<String, Any?> {
+        val value = linkedMapOf<String, Any?>()
+        if (placed.isNotEmpty()) value["on"] = placed.map { listOf(it.machine.value, Ranges.encode(it.tasks)) }
+        if (!done.isEmpty) value["done"] = Ranges.encode(done)
+        return value
+    }
+
+    companion object {
+        fun of(value: Map<String, Any?>): LogRecord {
+            val on = (value["on"] as? List<*> ?: emptyList<Any?>()).map { entry ->
+                val pair = entry as? List<*> ?: throw MalformedException("on")
+                Placed(MachineId(pair[0] as? String ?: throw MalformedException("on")), Ranges.decode(pair[1]))
+            }
+            return LogRecord(on, value["done"]?.let(Ranges::decode) ?: BitSet())
+        }
+    }
+}
+
+/** Sets of task numbers as flat lists of first and last, which keeps a big array's records small. */
+object Ranges {
+    fun encode(set: BitSet): List<Int> {
+        val out = ArrayList<Int>()
+        var from = set.nextSetBit(0)
+        while (from >= 0) {
+            val end = set.nextClearBit(from)
+            out.add(from)
+            out.add(end - 1)
+            from = set.nextSetBit(end)
+        }
+        return out
+    }
+
+    fun decode(value: Any?): BitSet {
+        val list = value as? List<*> ?: throw MalformedException("ranges")
+        if (list.size % 2 != 0) throw MalformedException("ranges")
+        val set = BitSet()
+        for (i in list.indices step 2) {
+            val from = list[i] as? Long ?: throw MalformedException("ranges")
+            val last = list[i + 1] as? Long ?: throw MalformedException("ranges")
+            if (from < 0 || last < from || last >= Wire.MAX_TASKS) throw MalformedException("ranges")
+            set.set(from.toInt(), last.toInt() + 1)
+        }
+        return set
+    }
+
+    /** Bytes that [set] takes when written. */
+    fun size(set: BitSet): Int = encode(set).sumOf { it.toString().length + 1 }
+
+    /** The lowest members of [set] that fit in [bytes] when written. */
+    fun fitting(set: BitSet, bytes: Int): BitSet {
+        var room = bytes
+        val out = BitSet()
+        var from = set.nextSetBit(0)
+        while (from >= 0) {
+            val end = set.nextClearBit(from)
+            room -= from.toString().length + (end - 1).toString().length + 2
+            if (room < 0) break
+            out.set(from, end)
+            from = set.nextSetBit(end)
+        }
+        return out
+    }
+}
+
+/** A rental: logged before the cloud is asked; [rented] is filled in with the answer. */
+data class RentRecord(val order: RentOrder, val rented: List<MachineId>?) {
+    fun toValue(): Map<String, Any?> {
+        val value = linkedMapOf<String, Any?>(
+            "ask" to order.ask, "type" to order.type, "zone" to order.zone, "spot" to order.spot,
+            "count" to order.count,
+        )
+        if (rented != null) value["rented"] = rented.map { it.value }
+        return value
+    }
+
+    companion object {
+        fun of(value: Map<String, Any?>): RentRecord {
+            val f = Fields(value)
+            val order = RentOrder(f.text("ask"), f.text("type"), f.text("zone"), f.flag("spot"), f.count("count").toInt())
+            return RentRecord(order, f.textsOrNull("rented")?.map(::MachineId))
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
@@ -0,0 +1,129 @@
+package dewwing.control.peer
+
+import dewwing.protocol.Term
+import okio.Buffer
+import okio.EOFException
+import java.io.IOException
+
+/** What controllers ask each other. */
+sealed interface PeerRequest {
+    /** "How are you, and this is how I am." */
+    data class Word(val from: String, val word: PeerWord) : PeerRequest
+
+    /** Display counts of a job; only the leader knows them. */
+    data class Counts(val ref: String) : PeerRequest
+
+    /** A user's request that this controller cannot serve, since the state service refuses it alone. */
+    class Relay(val method: String, val path: String, val body: ByteArray) : PeerRequest
+}
+
+data class PeerWord(val reachesState: Boolean, val highestTerm: Term, val leader: String)
+
+sealed interface PeerAnswer {
+    data class Word(val word: PeerWord) : PeerAnswer
+    data class Counts(val known: Boolean, val running: Int, val done: Int) : PeerAnswer
+    class Relay(val status: Int, val retryAfterS: Int, val body: ByteArray) : PeerAnswer
+}
+
+/** The frames between controllers: a length, then a tag and its fields, all in Okio buffers. */
+object PeerCodec {
+    const val MAX_FRAME = 256 * 1024
+    private const val WORD = 1
+    private const val COUNTS = 2
+    private const val RELAY = 3
+
+    fun encode(request: PeerRequest): Buffer {
+        val b = Buffer()
+        when (request) {
+            is PeerRequest.Word -> {
+                b.writeByte(WORD)
+                b.text(request.from)
+                b.word(request.word)
+            }
+            is PeerRequest.Counts -> {
+                b.writeByte(COUNTS)
+                b.text(request.ref)
+            }
+            is PeerRequest.Relay -> {
+                b.writeByte(RELAY)
+                b.text(request.method)
+                b.text(request.path)
+                b.bytes(request.body)
+            }
+        }
+        return b
+    }
+
+    fun encode(answer: PeerAnswer): Buffer {
+        val b = Buffer()
+        when (answer) {
+            is PeerAnswer.Word -> {
+                b.writeByte(WORD)
+                b.word(answer.word)
+            }
+            is PeerAnswer.Counts -> {
+                b.writeByte(COUNTS)
+                b.writeByte(if (answer.known) 1 else 0)
+                b.writeInt(answer.running)
+                b.writeInt(answer.done)
+            }
+            is PeerAnswer.Relay -> {
+                b.writeByte(RELAY)
+                b.writeInt(answer.status)
+                b.writeInt(answer.retryAfterS)
+                b.bytes(answer.body)
+            }
+        }
+        return b
+    }
+
+    fun decodeRequest(b: Buffer): PeerRequest = checked(b) {
+        when (val tag = b.readByte().toInt()) {
+            WORD -> PeerRequest.Word(b.text(), b.word())
+            COUNTS -> PeerRequest.Counts(b.text())
+            RELAY -> PeerRequest.Relay(b.text(), b.text(), b.bytes())
+            else -> throw IOException("unknown peer request $tag")
+        }
+    }
+
+    fun decodeAnswer(b: Buffer): PeerAnswer = checked(b) {
+        when (val tag = b.readByte().toInt()) {
+            WORD -> PeerAnswer.Word(b.word())
+            COUNTS -> PeerAnswer.Counts(b.readByte().toInt() != 0, b.readInt(), b.readInt())
+            RELAY -> PeerAnswer.Relay(b.readInt(), b.readInt(), b.bytes())
+            else -> throw IOException("unknown peer answer $tag")
+        }
+    }
+
+    private inline fun <T> checked(b: Buffer, read: () -> T): T {
+        try {
+            val value = read()
+            if (!b.exhausted()) throw IOException("bytes after a peer message")
+            return value
+        } catch (e: EOFException) {
+            throw IOException("peer message cut short")
+        }
+    }
+
+    private fun Buffer.word(w: PeerWord) {
+        writeByte(if (w.reachesState) 1 else 0)
+        writeLong(w.highestTerm.value)
+        text(w.leader)
+    }
+
+    private fun Buffer.word() = PeerWord(readByte().toInt() != 0, Term(readLong()), text())
+
+    private fun Buffer.text(s: String) = bytes(s.toByteArray())
+    private fun Buffer.text(): String = bytes().decodeToString()
+
+    private fun Buffer.bytes(value: ByteArray) {
+        writeInt(value.size)
+        write(value)
+    }
+
+    private fun Buffer.bytes(): ByteArray {
+        val n = readInt()
+        if (n < 0 || n > size) throw IOException("bad length in a peer message")
+        return readByteArray(n.toLong())
+    }
+}
