--- /dev/null
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -0,0 +1,179 @@
+package dewwing.control.core
+
+import dewwing.control.core.fleet.Machine
+import dewwing.control.core.job.Attempt
+import dewwing.control.core.job.AttemptPhase
+import dewwing.control.core.job.Job
+import dewwing.control.core.leadership.Authority
+import dewwing.control.core.leadership.Leadership
+import dewwing.control.core.leadership.SiblingWord
+import dewwing.control.core.placement.Placer
+import dewwing.control.core.quota.Quota
+import dewwing.protocol.Instant
+import dewwing.protocol.JobRef
+import dewwing.protocol.JobShape
+import dewwing.protocol.JobSpec
+import dewwing.protocol.MachineId
+import dewwing.protocol.MachineType
+import dewwing.protocol.Resources
+import dewwing.protocol.Revision
+import dewwing.protocol.Span
+import dewwing.protocol.Step
+import dewwing.protocol.Team
+import dewwing.protocol.Term
+import dewwing.protocol.Urgency
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.io.File
+import kotlin.random.Random
+
+class CoreTest {
+    private fun at(ms: Long) = Instant(ms)
+
+    private fun leadership() = Leadership(Span(2_500), Span(250), Span(2_500), setOf("b", "c"))
+
+    @Test
+    fun `a leader acts while its hold runs, counted from when the renewal was sent`() {
+        val l = leadership()
+        assertEquals(Authority.NONE, l.authority(at(0), false))
+        l.elected(Term(3), at(1_000))
+        assertEquals(Authority.FULL, l.authority(at(3_249), false))
+        assertEquals(Authority.NONE, l.authority(at(3_250), false))
+        l.renewed(at(3_000))
+        assertEquals(Authority.FULL, l.authority(at(3_300), false))
+    }
+
+    @Test
+    fun `past its hold it renews leases only while every sibling is cut from the state service too`() {
+        val l = leadership()
+        l.elected(Term(3), at(0))
+        l.heard("b", SiblingWord(at(2_000), false, Term(3)))
+        l.heard("c", SiblingWord(at(2_000), false, Term(3)))
+        assertEquals(Authority.RENEW_ONLY, l.authority(at(2_400), true))
+        l.heard("b", SiblingWord(at(3_000), true, Term(3)))
+        assertEquals(Authority.NONE, l.authority(at(3_100), true))
+        // One good word later must not restore it: somebody may have been elected in between.
+        l.heard("b", SiblingWord(at(3_200), false, Term(3)))
+        assertEquals(Authority.NONE, l.authority(at(3_300), true))
+        // A renewal proves that the hold never ended.
+        l.renewed(at(3_300))
+        assertEquals(Authority.FULL, l.authority(at(3_400), false))
+    }
+
+    @Test
+    fun `a silent sibling ends the exception within the age of its word, a higher term at once`() {
+        val l = leadership()
+        l.elected(Term(3), at(0))
+        l.heard("b", SiblingWord(at(2_000), false, Term(3)))
+        l.heard("c", SiblingWord(at(2_200), false, Term(3)))
+        assertEquals(Authority.RENEW_ONLY, l.authority(at(4_500), true))
+        assertEquals(Authority.NONE, l.authority(at(4_501), true))
+        val m = leadership()
+        m.elected(Term(3), at(0))
+        m.heard("c", SiblingWord(at(100), true, Term(4)))
+        assertEquals(Authority.NONE, m.authority(at(200), false))
+    }
+
+    @Test
+    fun `a token bucket never gives more than its rate and burst`() {
+        val random = Random(7)
+        val bucket = TokenBucket(10.0, 5.0)
+        var now = 0L
+        var taken = 0
+        while (now < 60_000) {
+            now += random.nextLong(1, 200)
+            while (bucket.tryTake(at(now), 1.0)) taken++
+        }
+        assertTrue(taken <= 5 + 600 + 1, "$taken")
+        assertTrue(taken > 500, "$taken")
+    }
+
+    private val type = MachineType("k", Resources(8.0, 2.0, 64.0), 10.0, 1.0, 1.0, 0.5, 10.0, listOf("a", "b"))
+
+    private fun spec(tasks: Int, shape: JobShape = JobShape.ARRAY, oneZone: Boolean = false, spread: Boolean = false) = JobSpec(
+        JobRef("job-1"), "c", "t", shape, Urgency.HIGH, tasks, Resources(2.0, 0.0, 4.0), "i", 1.0, null, null,
+        oneZone, spread, true, 10.0, 0.0, 0.0, null,
+    )
+
+    private fun machine(n: Int, zone: String = "a") = Machine(MachineId("m-$n"), at(0)).also {
+        it.type = type
+        it.zone = zone
+    }
+
+    private fun fill(m: Machine, job: Job, tasks: IntRange) {
+        for (t in tasks) m.attach(Attempt(job, t, Step(1), m, AttemptPhase.SEEN))
+    }
+
+    @Test
+    fun `each task goes to the machine it leaves fullest`() {
+        val machines = List(3) { machine(it) }
+        fill(machines[1], Job(spec(9), Revision(1), 0), 0..1)
+        val placed = Placer.place(Job(spec(3), Revision(1), 0), machines, 3)
+        assertEquals(machines[1], placed[0].machine)
+        assertEquals(2, placed[0].count)
+        assertEquals(1, placed[1].count)
+    }
+
+    @Test
+    fun `a gang is placed whole or not at all, in one zone when it must be`() {
+        val machines = listOf(machine(0, "a"), machine(1, "b"))
+        assertTrue(Placer.place(Job(spec(9, JobShape.GANG), Revision(1), 0), machines, 9).isEmpty())
+        assertEquals(8, Placer.place(Job(spec(8, JobShape.GANG), Revision(1), 0), machines, 8).sumOf { it.count })
+        assertTrue(Placer.place(Job(spec(8, JobShape.GANG, oneZone = true), Revision(1), 0), machines, 8).isEmpty())
+        val placed = Placer.place(Job(spec(4, JobShape.GANG, oneZone = true), Revision(1), 0), machines, 4)
+        assertEquals(1, placed.map { it.machine.zone }.toSet().size)
+    }
+
+    @Test
+    fun `a spread job keeps to half a zone, counting tasks that may still be there`() {
+        val machines = listOf(machine(0, "a"), machine(1, "a"), machine(2, "b"))
+        val job = Job(spec(5, spread = true), Revision(1), 0)
+        val held = Attempt(job, 0, Step(1), machines[0], AttemptPhase.SENT)
+        job.attach(held)
+        machines[0].attach(held)
+        val placed = Placer.place(job, machines, 4)
+        val inA = placed.filter { it.machine.zone == "a" }.sumOf { it.count }
+        assertEquals(2, inA)
+        assertEquals(2, placed.filter { it.machine.zone == "b" }.sumOf { it.count })
+    }
+
+    @Test
+    fun `machines with accelerators are left to those that need them while others would do`() {
+        val plain = type.copy(name = "p", size = Resources(4.0, 0.0, 32.0))
+        assertEquals(listOf("p"), Placer.usefulTypes(spec(1), listOf(type, plain)).map { it.name })
+        assertEquals(listOf("k"), Placer.usefulTypes(spec(1).copy(need = Resources(6.0, 0.0, 1.0)), listOf(type, plain)).map { it.name })
+    }
+
+    @Test
+    fun `team limits hold and guarantees go to the earliest jobs`() {
+        val quota = Quota(listOf(Team("t", 4.0, 8.0, 0.0, null)))
+        val jobs = List(3) { Job(spec(1).copy(ref = JobRef("job-$it")), Revision(1), it.toLong()) }
+        assertEquals(4, quota.room(jobs[0].spec))
+        repeat(3) { quota.add(jobs[0]) }
+        assertEquals(1, quota.room(jobs[0].spec))
+        quota.remove(jobs[0])
+        assertEquals(2, quota.room(jobs[0].spec))
+        assertEquals(jobs.take(2).toSet(), quota.guaranteed(jobs))
+        assertFalse(quota.canEverRun(spec(5, JobShape.GANG)))
+        assertFalse(quota.knows("x"))
+    }
+
+    /** The core decides; only the adapters round it may touch the world, the clock or chance. */
+    @Test
+    fun `the core has no input or output, clock or randomness`() {
+        val banned = Regex(
+            """\b(java\.net|java\.io|java\.nio|io\.ktor|okio|kotlinx\.coroutines|System\.|Random|Thread|Clock|kotlin\.time|java\.time)\b""",
+        )
+        val files = File("src/main/kotlin/dewwing/control/core").walkTopDown().filter { it.extension == "kt" }.toList()
+        assertTrue(files.size > 5)
+        for (f in files) {
+            for ((n, line) in f.readLines().withIndex()) {
+                assertFalse(banned.containsMatchIn(line.substringBefore("//").takeIf { !it.trim().startsWith("*") } ?: ""), "${f.name}:${n + 1}: $line")
+            }
+        }
+        // The check can fail:
+        assertTrue(banned.containsMatchIn("val t = System.nanoTime()"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -0,0 +1,173 @@
+package dewwing.protocol
+
+import dewwing.control.core.intent.JobRecord
+import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.Ranges
+import dewwing.control.peer.PeerAnswer
+import dewwing.control.peer.PeerCodec
+import dewwing.control.peer.PeerRequest
+import dewwing.control.peer.PeerWord
+import okio.Buffer
+import org.junit.jupiter.api.Assertions.assertArrayEquals
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.io.IOException
+import java.util.BitSet
+import kotlin.random.Random
+
+/** Generated messages through every codec, and generated garbage into it. */
+class FormatsTest {
+    private fun Random.text() = buildString { repeat(nextInt(12)) { append("abcäöü/0 \"\\".random(this@text)) } }
+
+    private fun Random.value(depth: Int): Any? = when (nextInt(if (depth > 3) 5 else 7)) {
+        0 -> null
+        1 -> nextBoolean()
+        2 -> nextLong()
+        3 -> nextDouble() * 1e6
+        4 -> text()
+        5 -> List(nextInt(5)) { value(depth + 1) }
+        else -> (0 until nextInt(5)).associate { "k$it" to value(depth + 1) }
+    }
+
+    private fun Random.spec() = JobSpec(
+        JobRef("job-%06d".format(nextInt(1_000_000))), "class-${nextInt(3)}", "team-${nextInt(3)}",
+        JobShape.entries.random(this), Urgency.entries.random(this), nextInt(1, 100_001),
+        Resources(nextInt(1, 64).toDouble(), nextInt(4).toDouble(), nextDouble() * 100), "img", nextDouble() * 10,
+        if (nextBoolean()) null else listOf("k", "l"), if (nextBoolean()) null else "z", nextBoolean(), nextBoolean(),
+        nextBoolean(), nextDouble() * 100, nextDouble() * 10, nextDouble(), if (nextBoolean()) null else nextDouble(),
+    )
+
+    @Test
+    fun `values survive MessagePack`() {
+        val random = Random(1)
+        repeat(500) {
+            val value = random.value(0)
+            assertEquals(value, Pack.decode(Pack.encode(value)))
+        }
+    }
+
+    @Test
+    fun `garbage and cut messages are refused, never anything else`() {
+        val random = Random(2)
+        repeat(3_000) {
+            val bytes = if (random.nextBoolean()) {
+                random.nextBytes(random.nextInt(1, 60))
+            } else {
+                val whole = Pack.encode(mapOf("a" to random.value(0), "drops" to listOf(random.value(0))))
+                whole.copyOf(random.nextInt(1, whole.size + 1)).also { if (random.nextBoolean()) it[random.nextInt(it.size)] = random.nextInt().toByte() }
+            }
+            try {
+                val f = Pack.decodeMap(bytes)
+                Wire.report(f)
+            } catch (e: MalformedException) {
+                assertTrue(e.message.orEmpty().isNotEmpty())
+            }
+        }
+    }
+
+    @Test
+    fun `a header that claims more than the body holds reserves nothing`() {
+        val huge = byteArrayOf(0xdd.toByte(), 0x7f, -1, -1, -1)
+        assertThrows(MalformedException::class.java) { Pack.decode(huge) }
+        val map = byteArrayOf(0xdf.toByte(), 0x7f, -1, -1, -1)
+        assertThrows(MalformedException::class.java) { Pack.decode(map) }
+    }
+
+    @Test
+    fun `numbers past a Long are read, binary and odd keys are not`() {
+        assertEquals(Long.MAX_VALUE, Pack.decode(byteArrayOf(0xcf.toByte(), -1, -1, -1, -1, -1, -1, -1, -1)))
+        assertThrows(MalformedException::class.java) { Pack.decode(byteArrayOf(0xc4.toByte(), 1, 0)) }
+        assertThrows(MalformedException::class.java) { Pack.decode(byteArrayOf(0x81.toByte(), 1, 1)) }
+    }
+
+    @Test
+    fun `job descriptions survive the wire and the state service`() {
+        val random = Random(3)
+        repeat(300) {
+            val spec = random.spec()
+            assertEquals(spec, Wire.jobSpec(Pack.decodeMap(Pack.encode(Wire.jobSpecMap(spec)))))
+            val record = JobRecord(JobStage.QUEUED, spec, random.nextLong(0, 1L shl 50))
+            @Suppress("UNCHECKED_CAST")
+            assertEquals(record, JobRecord.of(Pack.decode(Pack.encode(record.toValue())) as Map<String, Any?>))
+        }
+    }
+
+    @Test
+    fun `every field of a submission is checked and named`() {
+        val good = Pack.decodeMap(Pack.encode(Wire.jobSpecMap(Random(4).spec()))).raw.mapKeys { it.key as String }
+        val nullable = setOf("perchKinds", "meadow", "dueS")
+        for (name in good.keys - nullable) {
+            val e = assertThrows(MalformedException::class.java) { Wire.jobSpec(Fields(good - name)) }
+            assertTrue(e.message.orEmpty().contains(name), e.message)
+        }
+        val bad = mapOf(
+            "cores" to -1.0, "memoryGb" to Double.NaN, "accelerators" to "4", "drops" to 0L, "urgency" to "urgent",
+            "shape" to "gang", "ref" to "JOB-1", "together" to 1L, "perchKinds" to emptyList<String>(),
+            "expectS" to Double.POSITIVE_INFINITY, "flock" to "", "dueS" to -3.0, "meadow" to 3L,
+        )
+        for ((name, value) in bad) {
+            val e = assertThrows(MalformedException::class.java) { Wire.jobSpec(Fields(good + (name to value))) }
+            assertTrue(e.message.orEmpty().contains(name), "$name: ${e.message}")
+        }
+        assertThrows(MalformedException::class.java) { Wire.jobSpec(Fields(good + ("drops" to 100_001L))) }
+        assertThrows(MalformedException::class.java) { Wire.jobSpec(Fields(good + ("drops" to 2.0))) }
+    }
+
+    @Test
+    fun `ids have one form only`() {
+        for (bad in listOf("", "job-", "job-12a", "job-1/2", "jobs-1", "job--1", "job-1 ", "job-" + "1".repeat(80))) {
+            assertNull(JobRef.parse(bad), bad)
+        }
+        assertEquals(TaskRef(JobRef("job-000412"), 3), TaskRef.parse("job-000412/3"))
+        for (bad in listOf("job-1", "job-1/", "job-1/-2", "job-1/x", "/3")) assertNull(TaskRef.parse(bad), bad)
+    }
+
+    @Test
+    fun `task sets survive as ranges and fit where they must`() {
+        val random = Random(5)
+        repeat(300) {
+            val set = BitSet()
+            repeat(random.nextInt(60)) { set.set(random.nextInt(400)) }
+            val record = LogRecord(listOf(LogRecord.Placed(MachineId("m-1"), set)), set)
+            @Suppress("UNCHECKED_CAST")
+            val back = LogRecord.of(Pack.decode(Pack.encode(record.toValue())) as Map<String, Any?>)
+            assertEquals(set, back.placed[0].tasks)
+            assertEquals(set, back.done)
+            val cut = Ranges.fitting(set, 40)
+            assertTrue(Ranges.size(cut) <= 40)
+            assertTrue((cut.clone() as BitSet).apply { andNot(set) }.isEmpty)
+        }
+        for (bad in listOf(listOf(1L), listOf(3L, 2L), listOf(-1L, 2L), listOf("a", "b"), "x", listOf(0L, 100_000L))) {
+            assertThrows(MalformedException::class.java) { Ranges.decode(bad) }
+        }
+    }
+
+    @Test
+    fun `the JSON size is never below that of JSON, and close to it`() {
+        val exact = """{"a":1,"b":[true,null],"c":"x\"y"}""".length
+        val size = Pack.jsonSize(linkedMapOf("a" to 1, "b" to listOf(true, null), "c" to "x\"y"))
+        assertTrue(size in exact..exact + 12, "$size for $exact")
+    }
+
+    @Test
+    fun `messages between controllers survive their frames, and garbage is an IOException`() {
+        val word = PeerWord(true, Term(7), "n-1")
+        val request = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Word("n-0", word)))
+        assertEquals(PeerRequest.Word("n-0", word), request)
+        assertEquals(PeerAnswer.Counts(true, 2, 3), PeerCodec.decodeAnswer(PeerCodec.encode(PeerAnswer.Counts(true, 2, 3))))
+        val relay = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Relay("POST", "/p", byteArrayOf(1, 2))))
+        assertArrayEquals(byteArrayOf(1, 2), (relay as PeerRequest.Relay).body)
+        val random = Random(6)
+        repeat(2_000) {
+            val bytes = random.nextBytes(random.nextInt(40)).also { b -> if (b.isNotEmpty()) b[0] = random.nextInt(5).toByte() }
+            try {
+                PeerCodec.decodeRequest(Buffer().write(bytes))
+            } catch (e: IOException) {
+                assertTrue(e.message.orEmpty().isNotEmpty())
+            }
+        }
+    }
+}
