Histories in virtual time: state service, cloud, workers and crashes, with rule checkers

Seeded worlds written from the protocol; six ways of breaking the scheduler on purpose are each caught.

--- /dev/null
+++ b/src/test/kotlin/dewwing/world/HistoriesTest.kt
@@ -0,0 +1,78 @@
+package dewwing.world
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Seeded histories in virtual time: every rule is kept, every job ends, and the rules' checkers can fail. */
+class HistoriesTest {
+    @Test
+    fun `a quiet history ends with every job final and the logs collected`() {
+        val quiet = Trouble(Long.MAX_VALUE / 64, 0.0, 0.0, Long.MAX_VALUE / 16, Long.MAX_VALUE / 16, Long.MAX_VALUE / 16, 0.0)
+        val world = World(1, quiet)
+        assertEquals(emptyList<Any>(), world.play(30, 120_000))
+        assertEquals(emptyList<String>(), world.rules.broken)
+        assertEquals(0, world.keys("log/"))
+    }
+
+    @Test
+    fun `histories full of crashes, cuts, hangs and lost answers break no rule and finish every job`() {
+        for (seed in 1L..25L) {
+            val world = World(seed, Trouble())
+            val open = world.play(40, 200_000)
+            assertEquals(emptyList<String>(), world.rules.broken, "seed $seed")
+            assertEquals(emptyList<Any>(), open, "seed $seed")
+        }
+    }
+
+    @Test
+    fun `controllers that crash every few seconds break no rule`() {
+        for (seed in 100L..110L) {
+            val world = World(seed, Trouble(crashEveryMs = 4_000, loseAnswer = 0.2, lateCommit = 0.1))
+            world.play(30, 150_000)
+            assertEquals(emptyList<String>(), world.rules.broken, "seed $seed")
+        }
+    }
+
+    private fun caught(tamper: World.Tamper, rule: String) {
+        val found = (1L..12L).any { seed ->
+            val world = World(seed, Trouble(crashEveryMs = 6_000), tamper)
+            world.play(40, 150_000)
+            world.rules.broken.any { it.startsWith(rule) }
+        }
+        assertTrue(found, "$tamper was not caught as $rule")
+    }
+
+    @Test
+    fun `a leader that forgets what its predecessors started is caught`() = caught(World.Tamper.FORGET_INHERITED, "ran_twice")
+
+    @Test
+    fun `a leader that gives leases up too early is caught`() = caught(World.Tamper.LAPSE_AT_ONCE, "ran_twice")
+
+    @Test
+    fun `a leader that ignores cancellations is caught`() = caught(World.Tamper.IGNORE_CANCEL, "ran_cancelled")
+
+    @Test
+    fun `a leader that ignores limits is caught`() = caught(World.Tamper.NO_QUOTA, "quota")
+
+    @Test
+    fun `a leader that places anywhere is caught`() = caught(World.Tamper.ANY_MACHINE, "wrong_place")
+
+    @Test
+    fun `a job called done too early is caught, and so is taking that back, forgetting or inventing one`() {
+        caught(World.Tamper.DONE_EARLY, "not_done")
+        val rules = Rules(emptyMap(), 1_000)
+        rules.tells(dewwing.protocol.JobRef("job-1"), dewwing.protocol.JobStage.QUEUED)
+        assertTrue(rules.broken.single().startsWith("invented"))
+        val spec = dewwing.protocol.JobSpec(
+            dewwing.protocol.JobRef("job-1"), "c", "t", dewwing.protocol.JobShape.ARRAY, dewwing.protocol.Urgency.LOW, 1,
+            dewwing.protocol.Resources.NONE, "i", 0.0, null, null, false, false, true, 1.0, 0.0, 0.0, null,
+        )
+        rules.accepted(spec)
+        rules.tells(spec.ref, null)
+        assertTrue(rules.broken.last().startsWith("forgotten"))
+        rules.cancelTold(spec.ref, 0)
+        rules.tells(spec.ref, dewwing.protocol.JobStage.QUEUED)
+        assertTrue(rules.broken.last().startsWith("went_back"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -0,0 +1,562 @@
+package dewwing.world
+
+import dewwing.control.core.CoreSettings
+import dewwing.control.core.Effect
+import dewwing.control.core.RentOrder
+import dewwing.control.core.Scheduler
+import dewwing.control.core.StateChange
+import dewwing.control.core.intent.JobRecord
+import dewwing.control.core.intent.Keys
+import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.RentRecord
+import dewwing.protocol.CloudLimits
+import dewwing.protocol.Command
+import dewwing.protocol.EndCause
+import dewwing.protocol.Instant
+import dewwing.protocol.JobRef
+import dewwing.protocol.JobShape
+import dewwing.protocol.JobSpec
+import dewwing.protocol.JobStage
+import dewwing.protocol.ListedMachine
+import dewwing.protocol.ListedStage
+import dewwing.protocol.MachineId
+import dewwing.protocol.MachineType
+import dewwing.protocol.Objective
+import dewwing.protocol.ObjectiveKind
+import dewwing.protocol.Position
+import dewwing.protocol.Report
+import dewwing.protocol.ReportedTask
+import dewwing.protocol.Resources
+import dewwing.protocol.Revision
+import dewwing.protocol.Span
+import dewwing.protocol.StateLimits
+import dewwing.protocol.Step
+import dewwing.protocol.TaskRef
+import dewwing.protocol.TaskStage
+import dewwing.protocol.Team
+import dewwing.protocol.Term
+import dewwing.protocol.Urgency
+import dewwing.protocol.WorkerTimes
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** Tells broken rules of the protocol from what really happens on machines and is said to users. */
+class Rules(private val teamCaps: Map<String, Double>, private val cancelMs: Long) {
+    val broken = ArrayList<String>()
+    private val onMachine = HashMap<TaskRef, MachineId>()
+    private val specs = HashMap<JobRef, JobSpec>()
+    private val use = HashMap<String, Double>()
+    private val cancelledAt = HashMap<JobRef, Long>()
+    private val told = HashMap<JobRef, JobStage>()
+    private val completed = HashMap<JobRef, MutableSet<Int>>()
+
+    fun accepted(spec: JobSpec) {
+        specs[spec.ref] = spec
+    }
+
+    fun starts(task: TaskRef, machine: MachineId, type: String, zone: String, spot: Boolean, now: Long) {
+        val spec = specs[task.job]
+        if (spec == null) {
+            broken.add("invented: $task starts")
+            return
+        }
+        onMachine.put(task, machine)?.let { broken.add("ran_twice: $task on $it and $machine at $now") }
+        val sum = (use[spec.team] ?: 0.0) + spec.need.cores
+        use[spec.team] = sum
+        if (sum > (teamCaps[spec.team] ?: 1e9) + 1e-6) broken.add("quota: ${spec.team} uses $sum at $now")
+        if (spec.types != null && type !in spec.types || spec.zone != null && spec.zone != zone || spot && !spec.spot) {
+            broken.add("wrong_place: $task on $type $zone at $now")
+        }
+        if (spec.oneZone && onMachine.keys.any { it.job == task.job && zones[onMachine[it]] != zone }) {
+            broken.add("wrong_place: $task in $zone away from the others at $now")
+        }
+        cancelledAt[task.job]?.let { if (now > it + cancelMs) broken.add("ran_cancelled: $task starts at $now") }
+    }
+
+    val zones = HashMap<MachineId, String>()
+
+    fun leaves(task: TaskRef, machine: MachineId) {
+        if (onMachine[task] != machine) return
+        onMachine.remove(task)
+        specs[task.job]?.let { use[it.team] = (use[it.team] ?: 0.0) - it.need.cores }
+    }
+
+    fun completes(task: TaskRef) {
+        completed.getOrPut(task.job) { HashSet() }.add(task.index)
+    }
+
+    fun check(now: Long) {
+        for (task in onMachine.keys) {
+            cancelledAt[task.job]?.let { if (now > it + cancelMs) broken.add("ran_cancelled: $task on a machine at $now") }
+        }
+    }
+
+    fun cancelTold(job: JobRef, now: Long) {
+        cancelledAt.putIfAbsent(job, now)
+        tells(job, JobStage.ABORTED)
+    }
+
+    fun tells(job: JobRef, stage: JobStage?) {
+        val spec = specs[job]
+        if (stage == null) {
+            if (spec != null) broken.add("forgotten: $job")
+            return
+        }
+        if (spec == null) {
+            broken.add("invented: $job")
+            return
+        }
+        val before = told[job]
+        if ((before == JobStage.DONE || before == JobStage.ABORTED) && before != stage) broken.add("went_back: $job $before $stage")
+        if (stage == JobStage.DONE && (completed[job]?.size ?: 0) < spec.tasks) broken.add("not_done: $job")
+        told[job] = stage
+    }
+}
+
+/** What may go wrong, and how often. */
+data class Trouble(
+    val crashEveryMs: Long = 20_000,
+    val loseAnswer: Double = 0.05,
+    val lateCommit: Double = 0.03,
+    val cutEveryMs: Long = 15_000,
+    val hangEveryMs: Long = 30_000,
+    val takeEveryMs: Long = 40_000,
+    val errorShare: Double = 0.02,
+)
+
+/**
+ * The state service, the cloud, the workers and controllers' lives in virtual time, written from the protocol.
+ *
+ * One seed makes one history. A controller may crash between any two effects; answers get lost, commits come late,
+ * workers are cut off, hang, lapse and start new sessions. [tamper] lets a test break the scheduler on purpose, to
+ * show that the rules catch it.
+ */
+class World(seed: Long, private val trouble: Trouble, private val tamper: Tamper = Tamper.NONE) {
+    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE }
+
+    private val random = Random(seed)
+    private val events = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+    var now = 0L
+        private set
+
+    private val team = Team("t", 0.0, CAP, 0.0, null)
+    private val workersTimes = WorkerTimes(Span(2_000), Span(LEASE_MS), Span(30_000), Span(6_000), Span(CANCEL_MS))
+    private val types = listOf(
+        MachineType("big", Resources(8.0, 0.0, 64.0), 10.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b")),
+        MachineType("small", Resources(2.0, 0.0, 16.0), 10.0, 1.0, 0.3, 0.1, 3.0, listOf("a", "b")),
+    )
+    val rules = Rules(mapOf("t" to CAP), CANCEL_MS)
+
+    // ---- state service ----
+    private val store = sortedMapOf<String, Pair<Map<String, Any?>, Long>>()
+    private var tide = 0L
+
+    private fun commit(c: StateChange): List<String>? {
+        val failed = c.conditions.filter { (k, r) -> (store[k]?.second ?: 0L) != r.value }.map { it.first }
+        if (failed.isNotEmpty()) return failed
+        tide++
+        for ((k, raw) in c.puts) {
+            val v = decoded(raw)
+            store[k] = v to tide
+            Keys.jobOf(k)?.takeIf { k.startsWith(Keys.JOBS) }?.let { ref ->
+                val record = JobRecord.of(v)
+                val seen = tide
+                if (record.isFinal) rules.tells(ref, record.stage)
+                after(random.nextLong(5, 60)) { controllers.forEach { it.scheduler?.onJobEntry(ref, record, Revision(seen), instant()) } }
+            }
+        }
+        for (k in c.removes) store.remove(k)
+        return null
+    }
+
+    // ---- workers ----
+    private inner class Held(val task: TaskRef, val attempt: Step) {
+        var stage = TaskStage.FETCHING
+        var cause: EndCause? = null
+        var on = false
+        var alive = true
+    }
+
+    private inner class Worker(val id: MachineId, val type: MachineType, val zone: String, val spot: Boolean) {
+        val held = LinkedHashMap<TaskRef, Held>()
+        var session = 1L
+        var seq = 0L
+        var crest = 0L
+        var leaseFrom = now
+        var target = random.nextInt(CONTROLLERS)
+        var gone = false
+        var hungUntil = 0L
+        var cutUntil = 0L
+
+        fun exit(h: Held, cause: EndCause) {
+            if (h.stage == TaskStage.ENDED) return
+            h.stage = TaskStage.ENDED
+            h.cause = cause
+            if (h.on) rules.leaves(h.task, id)
+            h.on = false
+        }
+
+        fun checkLease() {
+            if (now - leaseFrom <= LEASE_MS) return
+            for (h in held.values) {
+                h.alive = false
+                if (h.on) rules.leaves(h.task, id)
+                h.on = false
+            }
+            held.clear()
+            session++
+            leaseFrom = now
+        }
+
+        fun execute(c: Command) {
+            val h = held[c.task]
+            when (c) {
+                is Command.Launch -> {
+                    if (h != null && h.attempt == c.attempt) return
+                    val n = Held(c.task, c.attempt)
+                    val spec = specs[c.task.job]
+                    if (h != null || spec == null) {
+                        if (h == null) held[c.task] = n.also { exit(it, EndCause.UNKNOWN_JOB) }
+                        return
+                    }
+                    held[c.task] = n
+                    after(random.nextLong(200, 3_000)) { begin(n, spec) }
+                }
+                is Command.Kill -> if (h != null && h.attempt == c.attempt) exit(h, EndCause.STOPPED)
+                is Command.Reap -> if (h != null && h.attempt == c.attempt && h.stage == TaskStage.ENDED) held.remove(c.task)
+            }
+        }
+
+        private fun begin(h: Held, spec: JobSpec) {
+            if (!h.alive || h.stage == TaskStage.ENDED || gone) return
+            if (hungUntil > now) {
+                after(hungUntil - now + 1) { begin(h, spec) }
+                return
+            }
+            checkLease()
+            if (!h.alive) return
+            h.stage = TaskStage.RUNNING
+            h.on = true
+            rules.starts(h.task, id, type.name, zone, spot, now)
+            val run = if (random.nextInt(12) == 0) random.nextLong(40_000, 60_000) else random.nextLong(500, 9_000)
+            after(run) { finish(h, spec) }
+        }
+
+        private fun finish(h: Held, spec: JobSpec) {
+            if (!h.alive || h.stage == TaskStage.ENDED || gone) return
+            if (hungUntil > now) {
+                after(hungUntil - now + 1) { finish(h, spec) }
+                return
+            }
+            checkLease()
+            if (!h.alive) return
+            if (random.nextDouble() < trouble.errorShare) {
+                exit(h, EndCause.ERROR)
+                return
+            }
+            if (spec.shape == JobShape.GANG) {
+                val mates = workers.values.flatMap { w -> w.held.values.filter { it.task.job == h.task.job && it.attempt == h.attempt && it.on }.map { w to it } }
+                if (mates.size < spec.tasks) {
+                    exit(h, EndCause.PEERS)
+                    return
+                }
+                for ((w, m) in mates) {
+                    rules.completes(m.task)
+                    w.exit(m, EndCause.DONE)
+                }
+                return
+            }
+            rules.completes(h.task)
+            exit(h, EndCause.DONE)
+        }
+
+        fun take() {
+            gone = true
+            for (h in held.values) if (h.on) rules.leaves(h.task, id)
+            held.clear()
+        }
+
+        fun report() {
+            if (gone) return
+            val next = random.nextLong(1_500, 2_500)
+            if (hungUntil > now) {
+                after(hungUntil - now + 1) { report() }
+                return
+            }
+            checkLease()
+            seq++
+            val r = Report(
+                id, "10.0.0.1:1", type.name, zone, spot, Position(session, seq), Term(crest), null,
+                held.values.map { ReportedTask(it.task, it.attempt, it.stage, it.cause, false) },
+            )
+            val sentAt = now
+            val from = session
+            if (cutUntil > now) {
+                // Held back and delivered late, while its sender has given up.
+                if (random.nextBoolean()) after(random.nextLong(5_000, 40_000)) { controllers[target].answer(r) }
+                after(4_000) { report() }
+                target = random.nextInt(CONTROLLERS)
+                return
+            }
+            after(random.nextLong(1, 30)) {
+                val answer = controllers[target].answer(r)
+                val lost = random.nextDouble() < trouble.loseAnswer
+                after(random.nextLong(1, 30)) back@{
+                    if (gone || lost || answer == null) {
+                        if (answer == null) target = random.nextInt(CONTROLLERS)
+                        return@back
+                    }
+                    if (hungUntil > now || from != session || answer.first < crest) return@back
+                    crest = answer.first
+                    leaseFrom = maxOf(leaseFrom, sentAt)
+                    answer.second.forEach(::execute)
+                }
+                after(next) { report() }
+            }
+        }
+    }
+
+    private val workers = LinkedHashMap<MachineId, Worker>()
+    private val specs = HashMap<JobRef, JobSpec>()
+
+    // ---- cloud ----
+    private var nextMachine = 0
+    private val asks = HashMap<String, List<MachineId>>()
+
+    private fun rent(o: RentOrder): List<MachineId>? = asks[o.ask] ?: run {
+        if (random.nextInt(8) == 0) return null
+        val type = types.first { it.name == o.type }
+        val ids = List(o.count) { MachineId("m-%06d".format(nextMachine++)) }
+        for (id in ids) {
+            val w = Worker(id, type, o.zone, o.spot)
+            workers[id] = w
+            rules.zones[id] = o.zone
+            after(random.nextLong(1_000, 8_000)) {
+                w.leaseFrom = now
+                w.report()
+            }
+        }
+        asks[o.ask] = ids
+        ids
+    }
+
+    // ---- controllers ----
+    /** The hold of the state service, as the elections see it. */
+    private var holder = -1
+    private var holdUntil = 0L
+
+    private inner class Controller(val n: Int) {
+        var scheduler: Scheduler? = null
+        var term = 0L
+        var validUntil = 0L
+        var life = 0
+
+        fun answer(r: Report): Pair<Long, List<Command>>? {
+            val s = scheduler ?: return null
+            if (now >= validUntil || r.term.value > term) return null
+            var commands = s.onReport(r, instant(), mayStart = true)
+            if (tamper == Tamper.IGNORE_CANCEL) commands = commands.filter { it !is Command.Kill }
+            return term to commands
+        }
+
+        fun live(myLife: Int) {
+            if (myLife != life) return
+            if (holder == n && holdUntil > now && scheduler != null) {
+                if (random.nextDouble() < 0.97) {
+                    holdUntil = now + HOLD_MS
+                    validUntil = now + HOLD_MS - 250
+                }
+                val s = scheduler
+                if (now < validUntil) for (e in s?.round(instant()) { true } ?: emptyList()) carryOut(e, myLife)
+            } else {
+                scheduler = null
+                if (holdUntil <= now) elect()
+            }
+            after(random.nextLong(150, 400)) { live(myLife) }
+        }
+
+        private fun elect() {
+            val seen = store[Keys.TERM]
+            val t = ((seen?.first?.get("n") as? Long) ?: 0L) + 1
+            commit(StateChange(listOf(Keys.TERM to Revision(seen?.second ?: 0L)), listOf(Keys.TERM to mapOf("n" to t))))
+            holder = n
+            holdUntil = now + HOLD_MS
+            validUntil = now + HOLD_MS - 250
+            term = t
+            val cap = if (tamper == Tamper.NO_QUOTA) null else CAP
+            val lease = if (tamper == Tamper.LAPSE_AT_ONCE) Span(2_000) else workersTimes.lease
+            val core = CoreSettings(
+                listOf(team.copy(coresMax = cap)),
+                listOf(Objective(ObjectiveKind.WAIT, "c", 10.0, 0.9)),
+                workersTimes.copy(lease = lease), StateLimits(200.0, 25.0, 4096, 8), CloudLimits(4.0, Span(3_000)),
+            )
+            val s = Scheduler(core, Term(t), Revision(store.getValue(Keys.TERM).second), instant(), 0)
+            s.onTypes(types)
+            for ((k, v) in store) {
+                when {
+                    k.startsWith(Keys.JOBS) -> {
+                        val record = JobRecord.of(v.first)
+                        val lie = if (tamper == Tamper.ANY_MACHINE) record.copy(spec = record.spec?.copy(types = null, spot = true)) else record
+                        Keys.jobOf(k)?.let { s.restoreJob(it, lie, Revision(v.second)) }
+                    }
+                    k.startsWith(Keys.LOGS) -> if (tamper != Tamper.FORGET_INHERITED) s.restoreLog(k, LogRecord.of(decoded(v.first)))
+                    k.startsWith(Keys.RENTS) -> s.restoreRent(k, RentRecord.of(decoded(v.first)), instant())
+                    k.startsWith(Keys.RELEASES) -> s.restoreRelease(Keys.releaseOf(k))
+                }
+            }
+            s.restored(instant())
+            scheduler = s
+        }
+
+        private fun carryOut(e: Effect, myLife: Int) {
+            val s = scheduler ?: return
+            fun here(block: () -> Unit) = after(random.nextLong(2, 200)) { if (life == myLife && scheduler === s) block() }
+            when (e) {
+                is Effect.Write -> write(s, e.change, myLife)
+                is Effect.Kill -> after(random.nextLong(1, 2_000)) {
+                    val w = workers[e.machine]
+                    if (w != null && !w.gone && w.hungUntil <= now && w.cutUntil <= now && w.crest <= term && w.session == e.session &&
+                        tamper != Tamper.IGNORE_CANCEL
+                    ) {
+                        w.crest = term
+                        w.seq++
+                        e.kills.forEach(w::execute)
+                    }
+                }
+                is Effect.Rent -> {
+                    val got = rent(e.order)
+                    if (random.nextDouble() < trouble.loseAnswer) here { s.onRentUnknown(e.key, instant()) }
+                    else here { s.onRented(e.key, got, instant()) }
+                }
+                is Effect.Release -> {
+                    e.machines.forEach { workers[it]?.take() }
+                    if (random.nextDouble() < trouble.loseAnswer) here { s.onReleaseUnknown(e.machines, instant()) }
+                    else here { s.onReleased(e.machines, instant()) }
+                }
+            }
+        }
+
+        private fun write(s: Scheduler, change: StateChange, myLife: Int) {
+            if (life != myLife || scheduler !== s) return
+            val lost = random.nextDouble() < trouble.loseAnswer
+            val late = random.nextDouble() < trouble.lateCommit
+            if (late) after(random.nextLong(1_000, 30_000)) { commit(change) }
+            val failed = if (late) null else commit(change)
+            after(random.nextLong(4, 100)) {
+                if (life != myLife || scheduler !== s) return@after
+                when {
+                    lost || late -> after(300) { write(s, change, myLife) }
+                    failed == null -> s.onWritten(Revision(tide), instant())
+                    !s.onRefused(failed, instant()) -> scheduler = null
+                }
+            }
+        }
+
+        fun crash() {
+            life++
+            scheduler = null
+            validUntil = 0
+            val mine = life
+            after(random.nextLong(100, 4_000)) { live(mine) }
+        }
+    }
+
+    private val controllers = List(CONTROLLERS) { Controller(it) }
+
+    private fun decoded(v: Map<String, Any?>): Map<String, Any?> {
+        @Suppress("UNCHECKED_CAST")
+        return dewwing.protocol.Pack.decode(dewwing.protocol.Pack.encode(v)) as Map<String, Any?>
+    }
+
+    // ---- users ----
+    private val submitted = ArrayList<JobRef>()
+
+    private fun submit(i: Int) {
+        val gang = random.nextInt(4) == 0
+        val spec = JobSpec(
+            JobRef("job-%06d".format(i)), "c", "t", if (gang) JobShape.GANG else JobShape.ARRAY,
+            Urgency.entries.random(random), if (gang) random.nextInt(1, 5) else random.nextInt(1, 12),
+            Resources(random.nextInt(1, 3).toDouble(), 0.0, 1.0), "i${random.nextInt(3)}", 1.0,
+            if (random.nextInt(3) == 0) listOf("big") else null, if (random.nextInt(4) == 0) "a" else null,
+            random.nextInt(3) == 0, false, random.nextBoolean(), 5.0, 0.0, 0.0, null,
+        )
+        if (spec.unit.cores > CAP) return
+        specs[spec.ref] = spec
+        rules.accepted(spec)
+        submitted.add(spec.ref)
+        val record = JobRecord(if (tamper == Tamper.DONE_EARLY && i == 3) JobStage.DONE else JobStage.QUEUED, spec, now)
+        commit(StateChange(listOf(Keys.job(spec.ref) to Revision.ABSENT), listOf(Keys.job(spec.ref) to record.toValue())))
+        if (random.nextInt(5) == 0) after(random.nextLong(10, 15_000)) { cancel(spec.ref) }
+    }
+
+    private fun cancel(ref: JobRef) {
+        val (value, mark) = store[Keys.job(ref)] ?: return
+        val record = JobRecord.of(decoded(value))
+        if (record.isFinal) return
+        val c = StateChange(listOf(Keys.job(ref) to Revision(mark)), listOf(Keys.job(ref) to record.copy(stage = JobStage.ABORTED).toValue()))
+        if (commit(c) == null) rules.cancelTold(ref, now)
+    }
+
+    // ---- running ----
+    private fun instant() = Instant(now)
+
+    private fun after(ms: Long, block: () -> Unit) {
+        events.add(now + ms to block)
+    }
+
+    private fun every(ms: Long, block: () -> Unit) {
+        after(random.nextLong(ms / 2, ms * 3 / 2)) {
+            block()
+            every(ms, block)
+        }
+    }
+
+    private fun advance(untilMs: Long) {
+        while (events.isNotEmpty() && events.peek().first <= untilMs) {
+            val (at, block) = events.poll()
+            now = at
+            block()
+        }
+        now = untilMs
+    }
+
+    /** Plays a history of jobs and troubles, then lets everything settle; returns the jobs that are not final. */
+    fun play(jobs: Int, lengthMs: Long): List<JobRef> {
+        controllers.forEach { c -> after(random.nextLong(0, 500)) { c.live(0) } }
+        for (i in 0 until jobs) after(random.nextLong(0, lengthMs / 2)) { submit(i) }
+        var troubled = true
+        fun up() = workers.values.filter { !it.gone }
+        every(trouble.crashEveryMs) { if (troubled) controllers.random(random).crash() }
+        every(trouble.crashEveryMs * 4) { if (troubled) controllers.forEach { it.crash() } }
+        every(trouble.cutEveryMs) { if (troubled) up().randomOrNull(random)?.let { it.cutUntil = now + random.nextLong(1_000, 25_000) } }
+        every(trouble.hangEveryMs) { if (troubled) up().randomOrNull(random)?.let { it.hungUntil = now + random.nextLong(1_000, 25_000) } }
+        every(trouble.takeEveryMs) { if (troubled) up().randomOrNull(random)?.take() }
+        every(100) { up().forEach { it.checkLease() } }
+        every(1_000) { rules.check(now) }
+        every(4_000) {
+            val list = workers.values.filter { !it.gone }.map {
+                ListedMachine(it.id, it.type.name, it.zone, it.spot, ListedStage.RUNNING, 10.0)
+            }
+            after(3_000) { controllers.forEach { it.scheduler?.onList(list, instant()) } }
+        }
+        every(5_000) {
+            for (ref in submitted) rules.tells(ref, store[Keys.job(ref)]?.let { JobRecord.of(decoded(it.first)).stage })
+        }
+        advance(lengthMs)
+        troubled = false
+        advance(lengthMs + SETTLE_MS)
+        return submitted.filter { ref -> store[Keys.job(ref)]?.let { !JobRecord.of(decoded(it.first)).isFinal } ?: true }
+    }
+
+    /** Keys left under [prefix], for the collector's tests. */
+    fun keys(prefix: String): Int = store.keys.count { it.startsWith(prefix) }
+
+    companion object {
+        const val CAP = 24.0
+        const val LEASE_MS = 10_000L
+        const val CANCEL_MS = 35_000L
+        private const val HOLD_MS = 2_500L
+        private const val CONTROLLERS = 3
+        private const val SETTLE_MS = 400_000L
+    }
+}
