--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -154,6 +154,7 @@
             if (record.isFinal || closed.any { it.ref == ref }) return
             jobs[ref] = Job(spec, revision, record.submittedAtMs)
             ranked = null
+            fleet.arrived(spec, now)
             log.info("job {} accepted: class {}, {} tasks, team {}", ref, spec.jobClass, spec.tasks, spec.team)
             return
         }
@@ -517,6 +518,7 @@
         val usable = machines.values.filterTo(ArrayList()) { it.accepts }
         val from = resumeAfter?.let { ref -> order.indexOfFirst { it.ref == ref } + 1 } ?: 0
         resumeAfter = null
+        val kept = standbyMachines(usable, now)
         for (i in from until order.size) {
             val job = order[i]
             if (b.ops >= room) return
@@ -526,7 +528,8 @@
             }
             if (job.pending.isEmpty || !job.isOpen || job.isComplete || now < job.notBefore) continue
             if (Keys.job(job.ref) in b.conditions) continue
-            val placements = choose(job, usable)
+            val open = if (kept.isEmpty()) usable else usable.filter { (kept[it] ?: job.spec.jobClass) == job.spec.jobClass }
+            val placements = choose(job, open)
             if (placements.isEmpty()) {
                 // Lower ranks must not take the machine that this gang is next to get.
                 if (job.isGang && job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) reserve(job, usable)
@@ -536,6 +539,22 @@
         }
     }
 
+    /** Free machines kept for classes that cannot wait for one to boot. */
+    private fun standbyMachines(usable: List<Machine>, now: Instant): Map<Machine, String> {
+        val kept = HashMap<Machine, String>()
+        for ((spec, count) in fleet.standby(now)) {
+            var missing = count
+            val fitting = usable.filter { it !in kept && Placer.machineAllowed(spec, it) && it.free.holds(spec.need) }
+                .sortedWith(compareBy({ spec.image !in it.images }, { -it.images.size }))
+            for (m in fitting) {
+                if (missing <= 0) break
+                missing -= m.free.slots(spec.need)
+                kept[m] = spec.jobClass
+            }
+        }
+        return kept
+    }
+
     private fun choose(job: Job, usable: List<Machine>): List<Placement> {
         if (job.isGang && job.live.isNotEmpty()) return emptyList()
         val pending = if (job.isGang) job.spec.tasks else job.pending.cardinality()
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -10,7 +10,9 @@
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.quota.Quota
 import dewwing.protocol.Instant
+import dewwing.protocol.JobShape
 import dewwing.protocol.JobSpec
+import dewwing.protocol.ObjectiveKind
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
 import dewwing.protocol.Resources
@@ -165,7 +167,8 @@
         planAt = now
         if (types.isEmpty()) return
         val bins = bins(now)
-        for ((job, count) in demand(ranked, wallNowMs)) cover(job, count, bins, now)
+        for ((job, count) in demand(ranked, wallNowMs)) cover(job.spec, count, bins, now)
+        for ((spec, count) in standby(now)) cover(spec, count, bins, now)
         retire(now, bins)
     }
 
@@ -202,6 +205,8 @@
             if (!job.isOpen || job.isComplete) continue
             if (job.isGang) {
                 if (job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) out.add(job to job.spec.tasks)
+            } else if (job.spec.shape == JobShape.SERVICE) {
+                out.add(job to minOf(job.pending.cardinality(), quota.room(job.spec)))
             } else {
                 arrays.getOrPut(job.spec.jobClass) { ArrayList() }.add(job)
             }
@@ -234,8 +239,45 @@
         return within * HORIZON_SHARE
     }
 
-    private fun cover(job: Job, count: Int, bins: MutableList<Bin>, now: Instant) {
-        val spec = job.spec
+    /** Arrivals of one class, for foreseeing the next. */
+    private class Arrivals {
+        val at = ArrayDeque<Instant>()
+        var last: JobSpec? = null
+    }
+
+    private val arrivals = HashMap<String, Arrivals>()
+
+    fun arrived(spec: JobSpec, now: Instant) {
+        val a = arrivals.getOrPut(spec.jobClass) { Arrivals() }
+        a.last = spec
+        a.at.addLast(now)
+        while (a.at.size > MAX_ARRIVALS || now - a.at.first() > ARRIVAL_WINDOW) a.at.removeFirst()
+    }
+
+    /**
+     * Places to keep free for classes that are to start sooner than a machine boots: as many as are expected to be
+     * asked for while one boots. Renting on demand can never meet such an aim.
+     */
+    fun standby(now: Instant): List<Pair<JobSpec, Int>> {
+        val out = ArrayList<Pair<JobSpec, Int>>()
+        for ((jobClass, a) in arrivals) {
+            val spec = a.last ?: continue
+            while (a.at.isNotEmpty() && now - a.at.first() > ARRIVAL_WINDOW) a.at.removeFirst()
+            if (a.at.isEmpty()) continue
+            val within = settings.objectives
+                .filter { it.kind == ObjectiveKind.WAIT && it.jobClass == jobClass }.minOfOrNull { it.withinS } ?: continue
+            val type = Placer.usefulTypes(spec, types.values).minByOrNull { it.bootS } ?: continue
+            val lead = type.bootS + spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
+            if (lead <= within) continue
+            val seen = minOf(ARRIVAL_WINDOW.seconds, maxOf(lead, (now - a.at.first()).seconds))
+            val expected = ceil(a.at.size / seen * lead).toInt()
+            val units = minOf(expected, MAX_STANDBY)
+            out.add(spec to units * if (spec.shape == JobShape.GANG) spec.tasks else 1)
+        }
+        return out
+    }
+
+    private fun cover(spec: JobSpec, count: Int, bins: MutableList<Bin>, now: Instant) {
         var missing = count
         for (bin in bins) {
             if (missing <= 0) return
@@ -322,6 +364,9 @@
     }
 
     companion object {
+        private const val MAX_ARRIVALS = 64
+        private const val MAX_STANDBY = 8
+        private val ARRIVAL_WINDOW = Span(180_000)
         private const val TERM_STRIDE = 100_000L
         private const val MAX_RENT = 50
         private const val MAX_RELEASE = 100
@@ -334,7 +379,7 @@
         private const val LEEWAY_S = 10.0
         private const val DEFAULT_BOOT_S = 60.0
         private const val DEFAULT_HORIZON_S = 240.0
-        private const val HORIZON_SHARE = 0.5
+        private const val HORIZON_SHARE = 0.65
         private val PLAN_EVERY = Span(1_000)
         private val SILENT_KEEP = Span(15_000)
         private val SPOT_FIRST = listOf(true, false)
--- a/src/main/kotlin/dewwing/control/core/placement/Placement.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Placement.kt
@@ -78,6 +78,7 @@
     private fun preference(spec: JobSpec): Comparator<Machine> =
         compareBy<Machine> { Math.round(fullness(it.type?.size ?: Resources.NONE, it.used, spec.need) * 100) }
             .thenBy { spec.image in it.images }
+            .thenBy { it.spot }
             .thenBy { it.attempts.size }
             .thenByDescending { it.id }
 }
--- a/src/main/kotlin/dewwing/protocol/Model.kt
+++ b/src/main/kotlin/dewwing/protocol/Model.kt
@@ -1,7 +1,10 @@
 package dewwing.protocol
 
-/** How a job's tasks relate: independent, or all running at once. */
-enum class JobShape { ARRAY, GANG }
+/**
+ * How a job's tasks relate: independent, all running at once, or independent and running until cancelled. Services
+ * are not on the protocol page, but the kit's check of real processes submits one; see docs/questions.md.
+ */
+enum class JobShape { ARRAY, GANG, SERVICE }
 
 /** Priority, most urgent first, so that the ordinal sorts. */
 enum class Urgency { PRODUCTION, HIGH, STANDARD, LOW }
--- a/src/main/kotlin/dewwing/protocol/Wire.kt
+++ b/src/main/kotlin/dewwing/protocol/Wire.kt
@@ -18,7 +18,8 @@
     const val HOLDS = "/holds"
     const val FOLLOW = "/follow"
 
-    private val shapes = mapOf("sweep" to JobShape.ARRAY, "group" to JobShape.GANG)
+    private val shapes = mapOf("sweep" to JobShape.ARRAY, "group" to JobShape.GANG, "service" to JobShape.SERVICE)
+    private val shapeWords = shapes.entries.associate { (word, shape) -> shape to word }
     private val urgencies = Urgency.entries.associateBy { it.name.lowercase() }
     private val stages = JobStage.entries.associateBy { it.name.lowercase() }
     private val taskStages = mapOf(
@@ -60,7 +61,7 @@
             ref = ref,
             jobClass = f.short("flock"),
             team = f.short("roost"),
-            shape = shapes[f.text("shape")] ?: f.wrong("shape", "sweep or group"),
+            shape = shapes[f.text("shape")] ?: f.wrong("shape", "sweep, group or service"),
             urgency = urgencies[f.text("urgency")] ?: f.wrong("urgency", "production, high, standard or low"),
             tasks = tasks.toInt(),
             need = Resources(f.amount("cores"), f.amount("accelerators"), f.amount("memoryGb")),
@@ -88,7 +89,7 @@
         "ref" to s.ref.value,
         "flock" to s.jobClass,
         "roost" to s.team,
-        "shape" to if (s.shape == JobShape.GANG) "group" else "sweep",
+        "shape" to shapeWords.getValue(s.shape),
         "urgency" to s.urgency.name.lowercase(),
         "drops" to s.tasks,
         "cores" to s.need.cores,
