--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -101,6 +101,8 @@
             changes = TokenBucket(intakePerS, maxOf(INTAKE_BURST, intakePerS)),
             maxValueBytes = settings.stateLimits.valueBytes - VALUE_SLACK,
         )
+        metrics.gauge("dewwing.term", "Highest term known") { leadership.highestTerm.value }
+        metrics.gauge("dewwing.leading", "1 on the leader") { if (leading == null) 0 else 1 }
     }
 
     suspend fun run(): Unit = coroutineScope {
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -332,6 +332,16 @@
     }
 
     private fun order(type: MachineType, zone: String, spot: Boolean, count: Int, now: Instant) {
+        // Wants of one round for the same market become one order: each costs two records and a call.
+        val same = rentals.values.firstOrNull { r ->
+            val o = r.record.order
+            r.stage == RentStage.TO_LOG && r.since == now && o.type == type.name && o.zone == zone && o.spot == spot &&
+                o.count + count <= MAX_RENT
+        }
+        if (same != null) {
+            same.record = RentRecord(same.record.order.copy(count = same.record.order.count + count), null)
+            return
+        }
         val step = term.value * TERM_STRIDE + nextRental++
         val order = RentOrder("r-$step", type.name, zone, spot, count)
         rentals[Keys.rent(step)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now)
