--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -19,6 +19,7 @@
 import dewwing.protocol.Endpoint
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
+import dewwing.protocol.JobSpec
 import dewwing.protocol.JobStage
 import dewwing.protocol.ListedMachine
 import dewwing.protocol.ListedStage
@@ -154,7 +155,6 @@
             if (record.isFinal || closed.any { it.ref == ref }) return
             jobs[ref] = Job(spec, revision, record.submittedAtMs)
             ranked = null
-            fleet.arrived(spec, now)
             log.info("job {} accepted: class {}, {} tasks, team {}", ref, spec.jobClass, spec.tasks, spec.team)
             return
         }
@@ -518,7 +518,7 @@
         val usable = machines.values.filterTo(ArrayList()) { it.accepts }
         val from = resumeAfter?.let { ref -> order.indexOfFirst { it.ref == ref } + 1 } ?: 0
         resumeAfter = null
-        val kept = standbyMachines(usable, now)
+        releaseKept(now)
         for (i in from until order.size) {
             val job = order[i]
             if (b.ops >= room) return
@@ -528,9 +528,11 @@
             }
             if (job.pending.isEmpty || !job.isOpen || job.isComplete || now < job.notBefore) continue
             if (Keys.job(job.ref) in b.conditions) continue
-            val open = if (kept.isEmpty()) usable else usable.filter { (kept[it] ?: job.spec.jobClass) == job.spec.jobClass }
-            val placements = choose(job, open)
+            val placements = choose(job, usable.filter { it.keptFor == null || it.keptFor === job })
             if (placements.isEmpty()) {
+                if (job.madeRoomAt == null && job.live.isEmpty() && fleet.cannotWaitForBoot(job.spec)) {
+                    makeRoom(job, usable, now)
+                }
                 // Lower ranks must not take the machine that this gang is next to get.
                 if (job.isGang && job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) reserve(job, usable)
                 continue
@@ -539,20 +541,72 @@
         }
     }
 
-    /** Free machines kept for classes that cannot wait for one to boot. */
-    private fun standbyMachines(usable: List<Machine>, now: Instant): Map<Machine, String> {
-        val kept = HashMap<Machine, String>()
-        for ((spec, count) in fleet.standby(now)) {
-            var missing = count
-            val fitting = usable.filter { it !in kept && Placer.machineAllowed(spec, it) && it.free.holds(spec.need) }
-                .sortedWith(compareBy({ spec.image !in it.images }, { -it.images.size }))
-            for (m in fitting) {
-                if (missing <= 0) break
-                missing -= m.free.slots(spec.need)
-                kept[m] = spec.jobClass
+    private fun releaseKept(now: Instant) {
+        for (m in machines.values) {
+            val job = m.keptFor ?: continue
+            val since = job.madeRoomAt
+            if (job.isOpen && job.live.isEmpty() && since != null && now - since < KEEP_ROOM && m.accepts) continue
+            m.keptFor = null
+            if (job.live.isNotEmpty() || since == null || now - since >= KEEP_ROOM) job.madeRoomAt = null
+        }
+    }
+
+    private class Room(val machine: Machine, val victims: List<Attempt>, val slots: Int, val costS: Double)
+
+    /**
+     * Stops tasks of lower priority so that [job], which cannot wait for a machine to boot, starts now: where the
+     * least work is lost and the image is at hand.
+     */
+    private fun makeRoom(job: Job, usable: List<Machine>, now: Instant) {
+        val spec = job.spec
+        val wanted = if (job.isGang) spec.tasks else minOf(spec.tasks, quota.room(spec))
+        if (wanted <= 0 || quota.room(spec) < wanted) return
+        val rooms = usable.filter { it.keptFor == null && Placer.machineAllowed(spec, it) }.mapNotNull { roomOn(it, spec, now) }
+        val zones = if (spec.oneZone) rooms.groupBy { it.machine.zone }.values else listOf(rooms)
+        val best = zones.mapNotNull { zone ->
+            val chosen = ArrayList<Room>()
+            var slots = 0
+            for (room in zone.sortedBy { it.costS / it.slots }) {
+                if (slots >= wanted) break
+                chosen.add(room)
+                slots += room.slots
             }
+            chosen.takeIf { slots >= wanted }
+        }.minByOrNull { rooms -> rooms.sumOf { it.costS } } ?: return
+        job.madeRoomAt = now
+        for (room in best) {
+            room.machine.keptFor = job
+            for (a in room.victims) {
+                if (a.neverSent) drop(a, now) else kill(a, if (a.job.spec.checkpointS > 0) a.job.spec.saveS else 0.0)
+            }
+        }
+        log.info("job {} makes room: {} tasks stopped on {}", job.ref, best.sumOf { it.victims.size }, best.map { it.machine.id })
+    }
+
+    /** The cheapest tasks of lower priority to stop on [m] so that at least one task of [spec] fits. */
+    private fun roomOn(m: Machine, spec: JobSpec, now: Instant): Room? {
+        val type = m.type ?: return null
+        val victims = ArrayList<Attempt>()
+        var free = m.free
+        var cost = if (spec.image in m.images) 0.0 else fleet.fetchS(spec, type)
+        val candidates = m.attempts.values
+            .filter { it.job.spec.urgency > spec.urgency && !it.job.isGang && it.killGraceS == null && it.phase != AttemptPhase.LOGGING }
+            .sortedBy { lostS(it, now) }
+        for (a in candidates) {
+            if (free.holds(spec.need)) break
+            victims.add(a)
+            free += a.job.spec.need
+            cost += lostS(a, now)
         }
-        return kept
+        val slots = free.slots(spec.need)
+        return if (slots == 0) null else Room(m, victims, slots, cost)
+    }
+
+    /** Work that stopping [a] would waste. */
+    private fun lostS(a: Attempt, now: Instant): Double {
+        val spec = a.job.spec
+        val ran = a.runningSince?.let { (now - it).seconds } ?: 0.0
+        return if (spec.checkpointS > 0) minOf(ran, spec.saveS + 1.0) else ran
     }
 
     private fun choose(job: Job, usable: List<Machine>): List<Placement> {
@@ -627,7 +681,10 @@
         b.conditions[key] = Revision.ABSENT
         b.own.add(key)
         b.puts.add(key to LogRecord(placed, done).toValue())
-        if (attempts.isNotEmpty()) job.waitReason = null
+        if (attempts.isNotEmpty()) {
+            job.waitReason = null
+            job.madeRoomAt = null
+        }
         b.onApplied.add {
             job.logSteps.add(step)
             if (!job.isOpen) gcQueue.addLast((now + tunables.logLife) to key)
@@ -721,6 +778,7 @@
         private const val MAX_COMMANDS = 400
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
+        private val KEEP_ROOM = Span(15_000)
         private const val FAULTY_AFTER_JOBS = 2
         private const val JOB_FAULT_MACHINES = 3
         private const val FORGET_MS = 60_000L
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -168,7 +168,6 @@
         if (types.isEmpty()) return
         val bins = bins(now)
         for ((job, count) in demand(ranked, wallNowMs)) cover(job.spec, count, bins, now)
-        for ((spec, count) in standby(now)) cover(spec, count, bins, now)
         retire(now, bins)
     }
 
@@ -204,7 +203,8 @@
         for (job in ranked) {
             if (!job.isOpen || job.isComplete) continue
             if (job.isGang) {
-                if (job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) out.add(job to job.spec.tasks)
+                val placeable = job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks
+                if (placeable && job.madeRoomAt == null) out.add(job to job.spec.tasks)
             } else if (job.spec.shape == JobShape.SERVICE) {
                 out.add(job to minOf(job.pending.cardinality(), quota.room(job.spec)))
             } else {
@@ -239,43 +239,15 @@
         return within * HORIZON_SHARE
     }
 
-    /** Arrivals of one class, for foreseeing the next. */
-    private class Arrivals {
-        val at = ArrayDeque<Instant>()
-        var last: JobSpec? = null
+    /** The class is to start sooner than a machine boots: renting on demand can never meet its aim. */
+    fun cannotWaitForBoot(spec: JobSpec): Boolean {
+        val within = settings.objectives
+            .filter { it.kind == ObjectiveKind.WAIT && it.jobClass == spec.jobClass }.minOfOrNull { it.withinS } ?: return false
+        val lead = Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: return false
+        return within < lead
     }
 
-    private val arrivals = HashMap<String, Arrivals>()
-
-    fun arrived(spec: JobSpec, now: Instant) {
-        val a = arrivals.getOrPut(spec.jobClass) { Arrivals() }
-        a.last = spec
-        a.at.addLast(now)
-        while (a.at.size > MAX_ARRIVALS || now - a.at.first() > ARRIVAL_WINDOW) a.at.removeFirst()
-    }
-
-    /**
-     * Places to keep free for classes that are to start sooner than a machine boots: as many as are expected to be
-     * asked for while one boots. Renting on demand can never meet such an aim.
-     */
-    fun standby(now: Instant): List<Pair<JobSpec, Int>> {
-        val out = ArrayList<Pair<JobSpec, Int>>()
-        for ((jobClass, a) in arrivals) {
-            val spec = a.last ?: continue
-            while (a.at.isNotEmpty() && now - a.at.first() > ARRIVAL_WINDOW) a.at.removeFirst()
-            if (a.at.isEmpty()) continue
-            val within = settings.objectives
-                .filter { it.kind == ObjectiveKind.WAIT && it.jobClass == jobClass }.minOfOrNull { it.withinS } ?: continue
-            val type = Placer.usefulTypes(spec, types.values).minByOrNull { it.bootS } ?: continue
-            val lead = type.bootS + spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
-            if (lead <= within) continue
-            val seen = minOf(ARRIVAL_WINDOW.seconds, maxOf(lead, (now - a.at.first()).seconds))
-            val expected = ceil(a.at.size / seen * lead).toInt()
-            val units = minOf(expected, MAX_STANDBY)
-            out.add(spec to units * if (spec.shape == JobShape.GANG) spec.tasks else 1)
-        }
-        return out
-    }
+    fun fetchS(spec: JobSpec, type: MachineType): Double = spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
 
     private fun cover(spec: JobSpec, count: Int, bins: MutableList<Bin>, now: Instant) {
         var missing = count
@@ -374,9 +346,6 @@
     }
 
     companion object {
-        private const val MAX_ARRIVALS = 64
-        private const val MAX_STANDBY = 8
-        private val ARRIVAL_WINDOW = Span(180_000)
         private const val TERM_STRIDE = 100_000L
         private const val MAX_RENT = 50
         private const val MAX_RELEASE = 100
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -1,6 +1,7 @@
 package dewwing.control.core.fleet
 
 import dewwing.control.core.job.Attempt
+import dewwing.control.core.job.Job
 import dewwing.protocol.Endpoint
 import dewwing.protocol.Instant
 import dewwing.protocol.MachineId
@@ -44,6 +45,9 @@
     var lastListed: Instant? = null
     var listedFailed = false
 
+    /** The job for which tasks were stopped here; nobody else may take the room. */
+    var keptFor: Job? = null
+
     /** Jobs that failed here; a machine on which several different jobs fail is faulty. */
     val failedJobs = HashSet<String>()
     var faulty = false
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -80,6 +80,9 @@
     var finalAt: Instant? = null
     var waitReason: String? = null
 
+    /** When tasks of lower priority were stopped for this job, until it is placed. */
+    var madeRoomAt: Instant? = null
+
     val isComplete: Boolean get() = doneCount == spec.tasks
     val isOpen: Boolean get() = final == null
 
