--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -197,6 +197,7 @@
         }
         if (!m.up) {
             m.idleSince = now
+            m.lastProper = now
             fleet.cameUp(m, now)
         }
         val sameSession = report.position.session == m.position.session
@@ -539,6 +540,31 @@
             }
             logStep(b, job, placements, now)
         }
+        placeOverflow(b, room, order, usable, now)
+    }
+
+    /**
+     * Plain work that has waited for a good part of what its class allows may use accelerator machines that nobody
+     * else wanted this round: they are paid for. It does not keep them from being returned, since a machine takes it
+     * only for a while after its last proper task.
+     */
+    private fun placeOverflow(b: Batch, room: Int, order: List<Job>, usable: List<Machine>, now: Instant) {
+        val idle = usable.filter { m ->
+            val lastProper = m.lastProper
+            m.keptFor == null && (m.type?.size?.accelerators ?: 0.0) > 0 && m.attempts.values.none { it.job.spec.need.accelerators > 0 } &&
+                lastProper != null && now - lastProper < OVERFLOW_KEEP
+        }
+        if (idle.isEmpty()) return
+        for (job in order) {
+            if (b.ops >= room) return
+            if (job.isGang || job.spec.need.accelerators > 0 || job.pending.isEmpty || !job.isOpen || now < job.notBefore) continue
+            if (Keys.job(job.ref) in b.conditions) continue
+            val waitedS = (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0
+            if (waitedS < fleet.horizonS(job.spec.jobClass) * OVERFLOW_AFTER) continue
+            val limit = minOf(job.pending.cardinality(), quota.room(job.spec), MAX_TASKS_PER_STEP)
+            val placements = Placer.place(job, idle.filter { Placer.machineAllowed(job.spec, it) && it.id.value !in job.failedOn }, limit)
+            if (placements.isNotEmpty()) logStep(b, job, placements, now)
+        }
     }
 
     private fun releaseKept(now: Instant) {
@@ -778,6 +804,8 @@
         private const val MAX_COMMANDS = 400
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
+        private const val OVERFLOW_AFTER = 0.4
+        private val OVERFLOW_KEEP = Span(45_000)
         private val KEEP_ROOM = Span(15_000)
         private const val FAULTY_AFTER_JOBS = 2
         private const val JOB_FAULT_MACHINES = 3
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -234,7 +234,7 @@
         return out
     }
 
-    private fun horizonS(jobClass: String): Double {
+    fun horizonS(jobClass: String): Double {
         val within = settings.objectives.filter { it.jobClass == jobClass }.minOfOrNull { it.withinS } ?: DEFAULT_HORIZON_S
         return within * HORIZON_SHARE
     }
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -52,6 +52,9 @@
     val failedJobs = HashSet<String>()
     var faulty = false
 
+    /** When it last held work that needs its accelerators, or came up for it. */
+    var lastProper: Instant? = null
+
     val attempts = LinkedHashMap<TaskRef, Attempt>()
     var used = Resources.NONE
         private set
@@ -71,6 +74,7 @@
         attempts.remove(attempt.ref)
         used = if (attempts.isEmpty()) Resources.NONE else used - attempt.job.spec.need
         if (attempts.isEmpty()) idleSince = now
+        if (attempt.job.spec.need.accelerators > 0) lastProper = now
     }
 
     /** New work may be put here. */
