--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -113,7 +113,7 @@
             requestMs = REQUEST_MS,
             writeMs = WRITE_MS,
         )
-        launch { HttpServer(selector, settings.serveOn, limits, ::serve).run() }
+        launch { HttpServer(selector, settings.serveOn, limits, handler = ::serve).run() }
         launch { PeerServer(selector, settings.peerListen, ::answerPeer).run() }
         for ((name, client) in peers) launch { sayWords(name, client) }
         launch { learnTypes() }
--- a/src/main/kotlin/dewwing/control/app/Rehearsal.kt
+++ b/src/main/kotlin/dewwing/control/app/Rehearsal.kt
@@ -35,8 +35,8 @@
         runBlocking {
             withTimeoutOrNull(LENGTH_MS) {
                 val limits = ServerLimits(100, Wire.MAX_BODY, 5_000, 5_000, 5_000)
-                launch { HttpServer(selector, Endpoint("127.0.0.1", ports[2]), limits, CannedState()::answer).run() }
-                launch { HttpServer(selector, Endpoint("127.0.0.1", ports[3]), limits, ::cloudAnswer).run() }
+                launch { HttpServer(selector, Endpoint("127.0.0.1", ports[2]), limits, handler = CannedState()::answer).run() }
+                launch { HttpServer(selector, Endpoint("127.0.0.1", ports[3]), limits, handler = ::cloudAnswer).run() }
                 delay(100)
                 launch { Controller(settings, Tunables(), Options(), selector, Metrics()).run() }
                 delay(1_500)
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -638,7 +638,8 @@
         val type = m.type ?: return null
         val victims = ArrayList<Attempt>()
         var free = m.free
-        var cost = if (spec.image in m.images) 0.0 else fleet.fetchS(spec, type)
+        // A fetch delays a start that is urgent by definition here; it weighs more than the same time of other work.
+        var cost = if (spec.image in m.images) 0.0 else fleet.fetchS(spec, type) * FETCH_WEIGHT
         val candidates = m.attempts.values
             .filter { it.job.spec.urgency > spec.urgency && !it.job.isGang && it.killGraceS == null && it.phase != AttemptPhase.LOGGING }
             .sortedBy { lostS(it, now) }
@@ -829,6 +830,7 @@
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
         private const val OVERFLOW_AFTER = 0.4
+        private const val FETCH_WEIGHT = 4.0
         private val OVERFLOW_KEEP = Span(45_000)
         private val KEEP_ROOM = Span(15_000)
         private const val FAULTY_AFTER_JOBS = 2
--- a/src/main/kotlin/dewwing/control/http/HttpServer.kt
+++ b/src/main/kotlin/dewwing/control/http/HttpServer.kt
@@ -61,6 +61,7 @@
     private val selector: SelectorManager,
     private val endpoint: Endpoint,
     private val limits: ServerLimits,
+    private val onBound: () -> Unit = {},
     private val handler: suspend (HttpRequest) -> HttpAnswer,
 ) {
     private val log = LoggerFactory.getLogger("http")
@@ -68,6 +69,7 @@
 
     suspend fun run(): Unit = coroutineScope {
         val server = bind()
+        onBound()
         server.use {
             while (isActive) {
                 val socket = try {
--- /dev/null
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -0,0 +1,177 @@
+package dewwing.control.api
+
+import dewwing.control.core.JobCounts
+import dewwing.control.core.TokenBucket
+import dewwing.control.core.quota.Quota
+import dewwing.control.http.HttpAnswer
+import dewwing.control.http.HttpClient
+import dewwing.control.http.HttpRequest
+import dewwing.control.http.HttpServer
+import dewwing.control.http.ServerLimits
+import dewwing.control.state.StateClient
+import dewwing.protocol.Endpoint
+import dewwing.protocol.Instant
+import dewwing.protocol.JobRef
+import dewwing.protocol.MachineType
+import dewwing.protocol.Pack
+import dewwing.protocol.Resources
+import dewwing.protocol.Team
+import dewwing.protocol.Wire
+import io.ktor.network.selector.ActorSelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.net.ServerSocket
+
+/** Submit, query and cancel against a stand-in of the state service on loopback. */
+class UserApiTest {
+    /** Keys and conditional changes, as the protocol has them; [failing] makes it answer 503. */
+    private class StandIn {
+        val values = HashMap<String, Pair<Any?, Long>>()
+        var tide = 0L
+        var failing = false
+
+        /** Carries the next change out but breaks its answer. */
+        var loseNext = false
+
+        fun answer(r: HttpRequest): HttpAnswer {
+            if (failing) return HttpAnswer.error(503, "outage")
+            if (r.path == Wire.COMMIT) {
+                val body = Pack.decodeMap(r.body)
+                val failed = body.maps("if").filter { (values[it.text("path")]?.second ?: 0L) != it.count("mark") }
+                if (failed.isNotEmpty()) {
+                    return HttpAnswer.of(409, mapOf("failed" to failed.map { it.text("path") }, "tide" to tide))
+                }
+                tide++
+                for (op in body.maps("apply")) values[op.text("put")] = op.raw["value"] to tide
+                if (loseNext) {
+                    loseNext = false
+                    return HttpAnswer.error(500, "lost")
+                }
+                return HttpAnswer.of(200, mapOf("tide" to tide))
+            }
+            val key = r.path.removePrefix(Wire.STORE + "/")
+            val value = values[key] ?: return HttpAnswer.of(404, mapOf("tide" to tide))
+            return HttpAnswer.of(200, mapOf("path" to key, "value" to value.first, "mark" to value.second))
+        }
+    }
+
+    private class Host(override var machineTypes: Collection<MachineType>) : ApiHost {
+        override suspend fun relay(request: HttpRequest): HttpAnswer? = null
+        override suspend fun counts(ref: JobRef): JobCounts? = null
+        override fun now() = Instant(System.nanoTime() / 1_000_000)
+        override fun wallMs() = 1_000L
+    }
+
+    private val type = MachineType("k", Resources(8.0, 0.0, 64.0), 10.0, 1.0, 1.0, 0.5, 10.0, listOf("a"))
+
+    private fun job(id: String = "job-1", vararg change: Pair<String, Any?>) = linkedMapOf<String, Any?>(
+        "ref" to id, "flock" to "c", "roost" to "t", "shape" to "sweep", "urgency" to "high", "drops" to 3,
+        "cores" to 2.0, "accelerators" to 0.0, "memoryGb" to 4.0, "seed" to "i", "sizeGb" to 1.0, "perchKinds" to null,
+        "meadow" to null, "together" to false, "apart" to false, "windfall" to true, "expectS" to 5.0, "dewS" to 0.0,
+        "settleS" to 0.0, "dueS" to null,
+    ).apply { putAll(change) }
+
+    private fun withApi(block: suspend (UserApi, StandIn, Host) -> Unit) = runBlocking {
+        val port = ServerSocket(0).use { it.localPort }
+        val endpoint = Endpoint("127.0.0.1", port)
+        ActorSelectorManager(Dispatchers.IO).use { selector ->
+            val standIn = StandIn()
+            val bound = CompletableDeferred<Unit>()
+            val limits = ServerLimits(50, Wire.MAX_BODY, 5_000, 5_000, 5_000)
+            val server = launch { HttpServer(selector, endpoint, limits, { bound.complete(Unit) }, standIn::answer).run() }
+            bound.await()
+            val clock = { Instant(System.nanoTime() / 1_000_000) }
+            val plenty = TokenBucket(10_000.0, 10_000.0)
+            val http = HttpClient(selector, endpoint, 2)
+            val state = StateClient(http, http, plenty, clock) { _, _ -> }
+            val host = Host(listOf(type))
+            block(UserApi(state, Quota(listOf(Team("t", 0.0, 16.0, 0.0, null))), host, TokenBucket(0.001, 6.0), 4_000), standIn, host)
+            server.cancel()
+            coroutineContext.cancelChildren()
+        }
+    }
+
+    private suspend fun UserApi.post(path: String, body: Any?) = handle(HttpRequest("POST", path, "", Pack.encode(body)), relayed = true)
+    private suspend fun UserApi.get(path: String) = handle(HttpRequest("GET", path, "", ByteArray(0)), relayed = true)
+    private fun stage(a: HttpAnswer) = Pack.decodeMap(a.body).text("stage")
+
+    @Test
+    fun `a job is accepted once, known for ever, and cancelled for good`() = withApi { api, _, _ ->
+        assertEquals(404, api.get("/api/jobs/job-1").status)
+        assertEquals(201, api.post(Wire.JOBS, job()).status)
+        assertEquals(200, api.post(Wire.JOBS, job()).status)
+        // A retry is judged by its id alone, whatever became of its content.
+        assertEquals(200, api.post(Wire.JOBS, job("job-1", "drops" to -4)).status)
+        assertEquals(200, api.post(Wire.JOBS, job("job-1", "roost" to "nobody")).status)
+        assertEquals("queued", stage(api.get("/api/jobs/job-1")))
+        assertEquals("aborted", stage(api.post("/api/jobs/job-1/cancel", emptyMap<String, Any?>())))
+        assertEquals("aborted", stage(api.get("/api/jobs/job-1")))
+        assertEquals("aborted", stage(api.post(Wire.JOBS, job())))
+    }
+
+    @Test
+    fun `what is malformed, can never run or is not there is told apart`() = withApi { api, _, host ->
+        assertEquals(400, api.handle(HttpRequest("POST", Wire.JOBS, "", byteArrayOf(1, 2)), true).status)
+        assertEquals(400, api.post(Wire.JOBS, listOf(1)).status)
+        assertEquals(400, api.post(Wire.JOBS, job("job-x")).status)
+        assertEquals(422, api.post(Wire.JOBS, job("job-2", "roost" to "nobody")).status)
+        assertEquals(422, api.post(Wire.JOBS, job("job-2", "cores" to 9.0)).status)
+        assertEquals(422, api.post(Wire.JOBS, job("job-2", "shape" to "group", "drops" to 9)).status)
+        assertEquals(422, api.post(Wire.JOBS, job("job-2", "meadow" to "b")).status)
+        assertEquals(404, api.get("/api/jobs/none").status)
+        assertEquals(404, api.get("/elsewhere").status)
+        assertEquals(405, api.get(Wire.JOBS).status)
+        assertEquals(404, api.post("/api/jobs/job-9/cancel", emptyMap<String, Any?>()).status)
+        host.machineTypes = emptyList()
+        assertEquals(503, api.post(Wire.JOBS, job("job-2")).status)
+    }
+
+    @Test
+    fun `an outage is told at once with a time to come back, and never as 404`() = withApi { api, standIn, _ ->
+        assertEquals(201, api.post(Wire.JOBS, job()).status)
+        standIn.failing = true
+        for (a in listOf(api.get("/api/jobs/job-1"), api.get("/api/jobs/job-7"), api.post(Wire.JOBS, job("job-3")), api.post("/api/jobs/job-1/cancel", null))) {
+            assertEquals(503, a.status)
+            assertEquals(1, a.retryAfterS)
+        }
+        standIn.failing = false
+        assertEquals("queued", stage(api.get("/api/jobs/job-1")))
+    }
+
+    @Test
+    fun `a lost answer to an accepted submission still ends in an acceptance`() = withApi { api, standIn, _ ->
+        standIn.loseNext = true
+        assertEquals(200, api.post(Wire.JOBS, job()).status)
+        assertEquals("queued", stage(api.get("/api/jobs/job-1")))
+    }
+
+    @Test
+    fun `past its share of changes intake says 429, but knows its jobs`() = withApi { api, _, _ ->
+        for (i in 1..6) assertEquals(201, api.post(Wire.JOBS, job("job-$i")).status)
+        val refused = api.post(Wire.JOBS, job("job-7"))
+        assertEquals(429, refused.status)
+        assertEquals(1, refused.retryAfterS)
+        assertEquals(200, api.post(Wire.JOBS, job("job-3")).status)
+    }
+
+    @Test
+    fun `a body over the limit is refused without being read`() = runBlocking {
+        val port = ServerSocket(0).use { it.localPort }
+        ActorSelectorManager(Dispatchers.IO).use { selector ->
+            val endpoint = Endpoint("127.0.0.1", port)
+            val bound = CompletableDeferred<Unit>()
+            val limits = ServerLimits(5, Wire.MAX_BODY, 5_000, 5_000, 5_000)
+            val server = launch { HttpServer(selector, endpoint, limits, { bound.complete(Unit) }) { HttpAnswer.of(200, null) }.run() }
+            bound.await()
+            val client = HttpClient(selector, endpoint, 1)
+            assertEquals(200, client.call("POST", "/", ByteArray(Wire.MAX_BODY), 3_000).status)
+            assertEquals(413, client.call("POST", "/", ByteArray(Wire.MAX_BODY + 1), 3_000).status)
+            server.cancel()
+        }
+    }
+}
