Relay at once when cut off alone; silent new connections end after 5 s; big gangs are not capped

Found by reading: a controller refused by the state service alone let each request time out before relaying; a gang of over 1000 tasks could never be placed; connections that send nothing held their place for 90 s. Tests for the relay added.

--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -29,6 +29,9 @@
 interface ApiHost {
     val machineTypes: Collection<MachineType>
 
+    /** The state service refuses or does not answer this controller, while a sibling says that it reaches it. */
+    val cutOffAlone: Boolean
+
     /** Asks a sibling that reaches the state service; null when none can be had. */
     suspend fun relay(request: HttpRequest): HttpAnswer?
 
@@ -80,6 +83,8 @@
         if (inFlight >= MAX_IN_FLIGHT) return HttpAnswer.error(503, "busy", RETRY_S)
         inFlight++
         try {
+            // Trying what has just failed would cost the user its timeout first.
+            if (!relayed && host.cutOffAlone) host.relay(request)?.let { return it }
             return block()
         } catch (e: StateUnavailableException) {
             val other = if (relayed) null else host.relay(request)
--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -109,6 +109,7 @@
         val limits = ServerLimits(
             connections = settings.sockets * 3 / 4,
             maxBody = Wire.MAX_BODY,
+            firstMs = FIRST_MS,
             idleMs = IDLE_MS,
             requestMs = REQUEST_MS,
             writeMs = WRITE_MS,
@@ -214,10 +215,15 @@
         }
     }
 
-    override suspend fun relay(request: HttpRequest): HttpAnswer? {
+    private fun ableSiblings(): Set<String> {
         val fresh = now()
-        val able = words.filter { it.value.reachesState && (fresh - it.value.at).ms < RELAY_WORD_MS }.keys
-        for (name in able) {
+        return words.filter { it.value.reachesState && (fresh - it.value.at).ms < RELAY_WORD_MS }.keys
+    }
+
+    override val cutOffAlone: Boolean get() = state.failing && ableSiblings().isNotEmpty()
+
+    override suspend fun relay(request: HttpRequest): HttpAnswer? {
+        for (name in ableSiblings()) {
             try {
                 val ask = PeerRequest.Relay(request.method, request.path, request.body)
                 val answer = peers[name]?.ask(ask, RELAY_MS)
@@ -397,7 +403,8 @@
         private const val TYPES_RETRY_MS = 1_000L
         private const val ELECTION_POLL_MS = 400L
         private const val ELECTION_JITTER_MS = 120L
-        private const val IDLE_MS = 90_000L
+        private const val FIRST_MS = 5_000L
+        private const val IDLE_MS = 60_000L
         private const val REQUEST_MS = 10_000L
         private const val WRITE_MS = 10_000L
     }
--- a/src/main/kotlin/dewwing/control/app/Rehearsal.kt
+++ b/src/main/kotlin/dewwing/control/app/Rehearsal.kt
@@ -34,7 +34,7 @@
         val selector = ActorSelectorManager(thread.asCoroutineDispatcher())
         runBlocking {
             withTimeoutOrNull(LENGTH_MS) {
-                val limits = ServerLimits(100, Wire.MAX_BODY, 5_000, 5_000, 5_000)
+                val limits = ServerLimits(100, Wire.MAX_BODY, 5_000, 5_000, 5_000, 5_000)
                 launch { HttpServer(selector, Endpoint("127.0.0.1", ports[2]), limits, handler = CannedState()::answer).run() }
                 launch { HttpServer(selector, Endpoint("127.0.0.1", ports[3]), limits, handler = ::cloudAnswer).run() }
                 delay(100)
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -663,7 +663,7 @@
     private fun choose(job: Job, usable: List<Machine>): List<Placement> {
         if (job.isGang && job.live.isNotEmpty()) return emptyList()
         val pending = if (job.isGang) job.spec.tasks else job.pending.cardinality()
-        var limit = minOf(pending, quota.room(job.spec), MAX_TASKS_PER_STEP)
+        var limit = minOf(pending, quota.room(job.spec), if (job.isGang) pending else MAX_TASKS_PER_STEP)
         if (job.isGang && limit < job.spec.tasks) limit = 0
         if (limit == 0) {
             wait(job, "its team's limit")
--- a/src/main/kotlin/dewwing/control/http/HttpServer.kt
+++ b/src/main/kotlin/dewwing/control/http/HttpServer.kt
@@ -48,6 +48,8 @@
 data class ServerLimits(
     val connections: Int,
     val maxBody: Int,
+    /** How long a new connection may stay silent: those who open many and send nothing must not crowd others out. */
+    val firstMs: Long,
     /** How long a connection may stay silent between requests. */
     val idleMs: Long,
     /** How long a request may take to arrive once it has begun. */
@@ -116,7 +118,8 @@
         try {
             val input = socket.openReadChannel()
             val output = socket.openWriteChannel(autoFlush = false)
-            while (exchange(input, output)) Unit
+            var silence = limits.firstMs
+            while (exchange(input, output, silence)) silence = limits.idleMs
         } catch (e: CancellationException) {
             throw e
         } catch (e: IOException) {
@@ -129,8 +132,8 @@
     }
 
     /** One request and its answer; false when the connection must close. */
-    private suspend fun exchange(input: ByteReadChannel, output: ByteWriteChannel): Boolean {
-        val begun = withTimeoutOrNull(limits.idleMs) { input.awaitContent(1) } ?: return false
+    private suspend fun exchange(input: ByteReadChannel, output: ByteWriteChannel, silenceMs: Long): Boolean {
+        val begun = withTimeoutOrNull(silenceMs) { input.awaitContent(1) } ?: return false
         if (!begun) return false
         val head = withTimeoutOrNull(limits.requestMs) { parseRequest(input) } ?: return false
         try {
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -61,7 +61,13 @@
     }
 
     private class Host(override var machineTypes: Collection<MachineType>) : ApiHost {
-        override suspend fun relay(request: HttpRequest): HttpAnswer? = null
+        override var cutOffAlone = false
+        var relayAnswer: HttpAnswer? = null
+        var relays = 0
+        override suspend fun relay(request: HttpRequest): HttpAnswer? {
+            relays++
+            return relayAnswer
+        }
         override suspend fun counts(ref: JobRef): JobCounts? = null
         override fun now() = Instant(System.nanoTime() / 1_000_000)
         override fun wallMs() = 1_000L
@@ -82,7 +88,7 @@
         ActorSelectorManager(Dispatchers.IO).use { selector ->
             val standIn = StandIn()
             val bound = CompletableDeferred<Unit>()
-            val limits = ServerLimits(50, Wire.MAX_BODY, 5_000, 5_000, 5_000)
+            val limits = ServerLimits(50, Wire.MAX_BODY, 5_000, 5_000, 5_000, 5_000)
             val server = launch { HttpServer(selector, endpoint, limits, { bound.complete(Unit) }, standIn::answer).run() }
             bound.await()
             val clock = { Instant(System.nanoTime() / 1_000_000) }
@@ -143,6 +149,17 @@
         assertEquals("queued", stage(api.get("/api/jobs/job-1")))
     }
 
+    @Test
+    fun `a controller that alone is refused turns to a sibling first, and a relayed request never travels on`() = withApi { api, standIn, host ->
+        standIn.failing = true
+        host.cutOffAlone = true
+        host.relayAnswer = HttpAnswer.of(201, emptyMap<String, Any?>())
+        val request = HttpRequest("POST", Wire.JOBS, "", Pack.encode(job()))
+        assertEquals(201, api.handle(request, relayed = false).status)
+        assertEquals(503, api.handle(request, relayed = true).status)
+        assertEquals(1, host.relays)
+    }
+
     @Test
     fun `a lost answer to an accepted submission still ends in an acceptance`() = withApi { api, standIn, _ ->
         standIn.loseNext = true
@@ -165,7 +182,7 @@
         ActorSelectorManager(Dispatchers.IO).use { selector ->
             val endpoint = Endpoint("127.0.0.1", port)
             val bound = CompletableDeferred<Unit>()
-            val limits = ServerLimits(5, Wire.MAX_BODY, 5_000, 5_000, 5_000)
+            val limits = ServerLimits(5, Wire.MAX_BODY, 5_000, 5_000, 5_000, 5_000)
             val server = launch { HttpServer(selector, endpoint, limits, { bound.complete(Unit) }) { HttpAnswer.of(200, null) }.run() }
             bound.await()
             val client = HttpClient(selector, endpoint, 1)
