One pool of connections for HTTP and siblings; the fetch weight of making room is reverted

Tried: a fetch weighing four times when room is made. The connection pool removes a copy of the same code; behaviour as before.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -5,6 +5,7 @@
 import dewwing.control.cloud.CloudClient
 import dewwing.control.core.CoreSettings
 import dewwing.control.core.JobCounts
+import dewwing.control.core.StateChange
 import dewwing.control.core.TokenBucket
 import dewwing.control.core.Tunables
 import dewwing.control.core.intent.Keys
@@ -26,6 +27,7 @@
 import dewwing.control.state.StateClient
 import dewwing.control.state.StateUnavailableException
 import dewwing.control.worker.WorkerClient
+import dewwing.protocol.Fields
 import dewwing.protocol.HoldId
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
@@ -256,7 +258,7 @@
         while (types.isEmpty()) {
             try {
                 val stored = state.get(Keys.TYPES)?.value
-                if (stored != null) learned(Wire.machineTypes(dewwing.protocol.Fields(stored)))
+                if (stored != null) learned(Wire.machineTypes(Fields(stored)))
             } catch (e: IOException) {
                 log.debug("no stored machine types: {}", e.message)
             } catch (e: MalformedException) {
@@ -330,7 +332,7 @@
         val sent = now()
         val hold = state.createHold(options.holdTtl)
         val term = seen.term.next()
-        val change = dewwing.control.core.StateChange(
+        val change = StateChange(
             conditions = listOf(Keys.TERM to seen.revision, Keys.HOLDER to Revision.ABSENT),
             puts = listOf(
                 Keys.TERM to mapOf("n" to term.value, "node" to settings.node),
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -18,6 +18,7 @@
 import dewwing.control.state.StateUnavailableException
 import dewwing.control.worker.WorkerClient
 import dewwing.protocol.HoldId
+import dewwing.protocol.JobRef
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
 import dewwing.protocol.MalformedException
@@ -162,7 +163,7 @@
         }
     }
 
-    private inline fun readJob(entry: Wire.Entry, use: (dewwing.protocol.JobRef, JobRecord) -> Unit) =
+    private inline fun readJob(entry: Wire.Entry, use: (JobRef, JobRecord) -> Unit) =
         read(entry) { value -> Keys.jobOf(entry.key)?.let { ref -> use(ref, JobRecord.of(value)) } }
 
     // ---- listening -------------------------------------------------------------------------------------------
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -163,7 +163,6 @@
         if (record.isFinal && job.isOpen) finish(job, record.stage, now)
     }
 
-    /** Jobs that a full read did not contain any more cannot be: records are never removed. */
     private fun finish(job: Job, stage: JobStage, now: Instant) {
         job.final = stage
         job.finalAt = now
@@ -202,7 +201,7 @@
         if (!m.up) {
             m.idleSince = now
             m.lastProper = now
-            fleet.cameUp(m, now)
+            fleet.cameUp(m)
         }
         val sameSession = report.position.session == m.position.session
         m.position = report.position
@@ -289,10 +288,7 @@
         a.phase = AttemptPhase.SEEN
         a.stage = t.stage
         if (t.stage != TaskStage.FETCHING) m.sawImage(a.job.spec.image)
-        if (t.stage == TaskStage.RUNNING && a.runningSince == null) {
-            a.runningSince = now
-            fleet.started(a, now)
-        }
+        if (t.stage == TaskStage.RUNNING && a.runningSince == null) a.runningSince = now
     }
 
     private fun ended(m: Machine, t: ReportedTask, known: Attempt?, now: Instant, commands: MutableList<Command>) {
@@ -303,10 +299,7 @@
         }
         if (known != null) {
             when (t.cause) {
-                EndCause.DONE -> {
-                    fleet.finished(known, now)
-                    drop(known, now)
-                }
+                EndCause.DONE -> drop(known, now)
                 EndCause.ERROR -> {
                     log.info("task {} failed on {}", known.ref, m.id)
                     blame(m, known.job, now)
@@ -638,8 +631,7 @@
         val type = m.type ?: return null
         val victims = ArrayList<Attempt>()
         var free = m.free
-        // A fetch delays a start that is urgent by definition here; it weighs more than the same time of other work.
-        var cost = if (spec.image in m.images) 0.0 else fleet.fetchS(spec, type) * FETCH_WEIGHT
+        var cost = if (spec.image in m.images) 0.0 else fleet.fetchS(spec, type)
         val candidates = m.attempts.values
             .filter { it.job.spec.urgency > spec.urgency && !it.job.isGang && it.killGraceS == null && it.phase != AttemptPhase.LOGGING }
             .sortedBy { lostS(it, now) }
@@ -830,7 +822,6 @@
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
         private const val OVERFLOW_AFTER = 0.4
-        private const val FETCH_WEIGHT = 4.0
         private val OVERFLOW_KEEP = Span(45_000)
         private val KEEP_ROOM = Span(15_000)
         private const val FAULTY_AFTER_JOBS = 2
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -5,7 +5,6 @@
 import dewwing.control.core.RentOrder
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.RentRecord
-import dewwing.control.core.job.Attempt
 import dewwing.control.core.job.Job
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.quota.Quota
@@ -64,14 +63,10 @@
         dropRecords.add(Keys.release(id))
     }
 
-    fun cameUp(machine: Machine, now: Instant) {
+    fun cameUp(machine: Machine) {
         log.info("machine {} is up: {}{} in {}", machine.id, machine.type?.name, if (machine.spot) " (spot)" else "", machine.zone)
     }
 
-    fun started(attempt: Attempt, now: Instant) = Unit
-
-    fun finished(attempt: Attempt, now: Instant) = Unit
-
     fun onRented(key: String, rented: List<MachineId>?, now: Instant) {
         val rental = rentals[key] ?: return
         val order = rental.record.order
--- a/src/main/kotlin/dewwing/control/http/HttpClient.kt
+++ b/src/main/kotlin/dewwing/control/http/HttpClient.kt
@@ -4,74 +4,31 @@
 import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.readFully
 import io.ktor.utils.io.readRemaining
 import io.ktor.utils.io.writeFully
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.readByteArray
-import java.io.IOException
 
 /** What came back, whatever the status. */
 class HttpResult(val status: Int, val body: ByteArray, val retryAfterS: Int?)
 
-/** No answer: the request may or may not have been carried out, now or later. */
-class NoAnswerException(message: String) : IOException(message)
-
-/**
- * HTTP/1.1 client for one address, keeping connections open between calls and never pipelining.
- *
- * A call that gets no answer closes its connection, so that a late answer cannot be taken for the next call's.
- */
+/** HTTP/1.1 client for one address, keeping connections open between calls and never pipelining. */
 class HttpClient(
-    private val selector: SelectorManager,
+    selector: SelectorManager,
     private val endpoint: Endpoint,
-    private val maxIdle: Int,
+    maxIdle: Int,
     private val maxResponse: Int = 16 * 1024 * 1024,
 ) {
-    private class Connection(val socket: Socket, val input: ByteReadChannel, val output: ByteWriteChannel)
-
-    private val idle = ArrayDeque<Connection>()
+    private val connections = Connections(selector, endpoint, maxIdle)
 
-    suspend fun call(method: String, target: String, body: ByteArray?, timeoutMs: Long): HttpResult {
-        var connection: Connection? = null
-        var done = false
-        try {
-            val result = withTimeoutOrNull(timeoutMs) {
-                val c = idle.removeLastOrNull() ?: connect()
-                connection = c
-                exchange(c, method, target, body)
-            } ?: throw NoAnswerException("$method $target: no answer in $timeoutMs ms")
-            done = true
-            return result
-        } catch (e: ParserException) {
-            throw NoAnswerException("$method $target: ${e.message}")
-        } catch (e: IllegalStateException) {
-            // ktor reports some closed channels this way; a cancellation is one too and must pass.
-            if (e is kotlinx.coroutines.CancellationException) throw e
-            throw NoAnswerException("$method $target: ${e.message}")
-        } finally {
-            val c = connection
-            if (c != null) {
-                if (done && idle.size < maxIdle && !c.input.isClosedForRead) idle.addLast(c) else c.socket.close()
-            }
-        }
-    }
-
-    /** Drops connections kept for later; after a cut they would each cost a timeout. */
-    fun forgetConnections() {
-        while (true) (idle.removeFirstOrNull() ?: break).socket.close()
+    suspend fun call(method: String, target: String, body: ByteArray?, timeoutMs: Long): HttpResult = try {
+        connections.exchange("$method $target", timeoutMs) { exchange(it, method, target, body) }
+    } catch (e: ParserException) {
+        throw NoAnswerException("$method $target: ${e.message}")
     }
 
-    private suspend fun connect(): Connection {
-        val socket = aSocket(selector).tcp().connect(endpoint.host, endpoint.port) { noDelay = true }
-        return Connection(socket, socket.openReadChannel(), socket.openWriteChannel(autoFlush = false))
-    }
+    fun forgetConnections() = connections.forget()
 
     private suspend fun exchange(c: Connection, method: String, target: String, body: ByteArray?): HttpResult {
         val head = StringBuilder(128)
--- a/src/main/kotlin/dewwing/control/peer/Peers.kt
+++ b/src/main/kotlin/dewwing/control/peer/Peers.kt
@@ -1,6 +1,6 @@
 package dewwing.control.peer
 
-import dewwing.control.http.NoAnswerException
+import dewwing.control.http.Connections
 import dewwing.protocol.Endpoint
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
@@ -37,35 +37,14 @@
 }
 
 /** Asks one sibling; one question at a time on a connection, kept for the next. */
-class PeerClient(private val selector: SelectorManager, private val endpoint: Endpoint) {
-    private class Connection(val socket: Socket, val input: ByteReadChannel, val output: ByteWriteChannel)
+class PeerClient(selector: SelectorManager, endpoint: Endpoint) {
+    private val connections = Connections(selector, endpoint, MAX_IDLE)
 
-    private val idle = ArrayDeque<Connection>()
-
-    suspend fun ask(request: PeerRequest, timeoutMs: Long): PeerAnswer {
-        var connection: Connection? = null
-        var done = false
-        try {
-            val answer = withTimeoutOrNull(timeoutMs) {
-                val c = idle.removeLastOrNull() ?: connect()
-                connection = c
-                c.output.frame(PeerCodec.encode(request))
-                PeerCodec.decodeAnswer(c.input.frame())
-            } ?: throw NoAnswerException("no answer from $endpoint")
-            done = true
-            return answer
-        } catch (e: IllegalStateException) {
-            if (e is CancellationException) throw e
-            throw NoAnswerException("$endpoint: ${e.message}")
-        } finally {
-            connection?.let { if (done && idle.size < MAX_IDLE) idle.addLast(it) else it.socket.close() }
+    suspend fun ask(request: PeerRequest, timeoutMs: Long): PeerAnswer =
+        connections.exchange("sibling", timeoutMs) { c ->
+            c.output.frame(PeerCodec.encode(request))
+            PeerCodec.decodeAnswer(c.input.frame())
         }
-    }
-
-    private suspend fun connect(): Connection {
-        val socket = aSocket(selector).tcp().connect(endpoint.host, endpoint.port) { noDelay = true }
-        return Connection(socket, socket.openReadChannel(), socket.openWriteChannel(autoFlush = false))
-    }
 
     companion object {
         private const val MAX_IDLE = 4
--- a/src/main/kotlin/dewwing/control/state/StateClient.kt
+++ b/src/main/kotlin/dewwing/control/state/StateClient.kt
@@ -5,7 +5,6 @@
 import dewwing.control.http.HttpClient
 import dewwing.control.http.HttpResult
 import dewwing.control.http.NoAnswerException
-import dewwing.protocol.Fields
 import dewwing.protocol.HoldId
 import dewwing.protocol.Instant
 import dewwing.protocol.MalformedException
@@ -186,6 +185,3 @@
         private val EMPTY_MAP = Pack.encode(emptyMap<String, Any?>())
     }
 }
-
-/** Reads [Fields] out of a stored value. */
-fun Map<String, Any?>.fields(): Fields = Fields(this)
