--- a/src/main/kotlin/dewwing/control/core/Tunables.kt
+++ b/src/main/kotlin/dewwing/control/core/Tunables.kt
@@ -20,7 +20,7 @@
     /** Share of the state service's change rate that the leader takes. */
     val writeShare: Double = 0.45,
     /** How long a machine without work is kept. */
-    val idleKeep: Span = Span(30_000),
+    val idleKeep: Span = Span(15_000),
 )
 
 /** What the core needs to know of its deployment. */
