--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -235,6 +235,7 @@
                 val until = begun + options.roundBudget.ms * 1_000_000
                 val effects = s.round(clock.now()) { System.nanoTime() < until }
                 metrics.round(System.nanoTime() - begun)
+                for ((jobClass, span) in s.takeWaits()) metrics.waited(jobClass, span.ms)
                 for (effect in effects) scope.launch { carryOut(s, effect) }
             }
             withTimeoutOrNull(ROUND_MAX_MS) { signal.receive() }
--- a/src/main/kotlin/dewwing/control/app/Metrics.kt
+++ b/src/main/kotlin/dewwing/control/app/Metrics.kt
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.Tags
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.util.concurrent.TimeUnit
 
 /** What operators can watch, on [PATH] of the serving address. */
 class Metrics {
@@ -19,7 +20,10 @@
     fun answered(path: String, status: Int) =
         registry.counter("dewwing.answers", "path", path, "status", status.toString()).increment()
 
-    fun round(nanos: Long) = rounds.record(nanos, java.util.concurrent.TimeUnit.NANOSECONDS)
+    fun round(nanos: Long) = rounds.record(nanos, TimeUnit.NANOSECONDS)
+
+    fun waited(jobClass: String, ms: Long) =
+        registry.timer("dewwing.wait", "class", jobClass).record(maxOf(0, ms), TimeUnit.MILLISECONDS)
 
     fun gauge(name: String, description: String, value: () -> Number) {
         Gauge.builder(name, value).description(description).register(registry)
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -288,7 +288,12 @@
         a.phase = AttemptPhase.SEEN
         a.stage = t.stage
         if (t.stage != TaskStage.FETCHING) m.sawImage(a.job.spec.image)
-        if (t.stage == TaskStage.RUNNING && a.runningSince == null) a.runningSince = now
+        if (t.stage == TaskStage.RUNNING && a.runningSince == null) {
+            a.runningSince = now
+            if (waits.size < MAX_WAITS) {
+                waits.add(a.job.spec.jobClass to Span(now.ms + wallOffsetMs - a.job.submittedAtMs))
+            }
+        }
     }
 
     private fun ended(m: Machine, t: ReportedTask, known: Attempt?, now: Instant, commands: MutableList<Command>) {
@@ -798,6 +803,11 @@
         return JobCounts(if (running > 0) JobStage.RUNNING else JobStage.QUEUED, job.doneCount, running)
     }
 
+    private val waits = ArrayList<Pair<String, Span>>()
+
+    /** Waits from submission to the first sight of a running task, by class, since this was last asked. */
+    fun takeWaits(): List<Pair<String, Span>> = waits.toList().also { waits.clear() }
+
     fun queueByClass(): Map<String, Int> =
         jobs.values.groupBy { it.spec.jobClass }.mapValues { (_, l) -> l.sumOf { it.pending.cardinality() } }
 
@@ -819,6 +829,7 @@
         /** Timers fire in steps of milliseconds. */
         private const val LEASE_SLACK_MS = 250L
         private const val MAX_COMMANDS = 400
+        private const val MAX_WAITS = 10_000
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
         private const val OVERFLOW_AFTER = 0.4
