--- a/src/main/kotlin/dewwing/control/app/Main.kt
+++ b/src/main/kotlin/dewwing/control/app/Main.kt
@@ -1,9 +1,10 @@
 package dewwing.control.app
 
 import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
-import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
@@ -86,12 +87,10 @@
         echo("dewwing: $message", err = true)
         throw ProgramResult(BAD_SETTINGS)
     }
-
-    companion object {
-        const val BAD_SETTINGS = 2
-    }
 }
 
+private const val BAD_SETTINGS = 2
+
 const val VERSION = "0.1.0"
 
 /** Runs a controller until the process is killed: one thread for everything, one for the socket selector. */
@@ -119,6 +118,13 @@
 
 fun main(args: Array<String>) {
     configureLogging()
-    Dewwing().main(args)
+    val command = Dewwing()
+    try {
+        command.parse(args)
+    } catch (e: CliktError) {
+        // Clikt's core leaves the exit status to its caller: without this a refused setting would look like success.
+        command.echoFormattedHelp(e)
+        exitProcess(if (e.statusCode == 0) 0 else BAD_SETTINGS)
+    }
     if ("--rehearse" in args) exitProcess(0)
 }
