Dead code removed, one way to describe a machine, one guard in the stand-in worker

Found by reading the change: unused fields and parameters, the same three assignments in three places, a label written four times, the same guard twice in the tests' worker. Behaviour as before; tests keep their assertions.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -68,7 +68,6 @@
     private var orphanLogs = ArrayList<String>()
     private val gcQueue = ArrayDeque<Pair<Instant, String>>()
     private var batch: Batch? = null
-    private var nextBatch = 1L
     private val effects = ArrayList<Effect>()
     private val fleet = Fleet(settings, term, machines, types, quota)
 
@@ -145,8 +144,6 @@
         for (m in machines.values) m.type?.let { m.type = types[it.name] ?: it }
     }
 
-    val knownTypes: Collection<MachineType> get() = types.values
-
     /** A job's key changed; our own changes come by here too. */
     fun onJobEntry(ref: JobRef, record: JobRecord, revision: Revision, now: Instant) {
         val job = jobs[ref]
@@ -193,11 +190,7 @@
         // A late copy says nothing new, and its sender dropped the answer long ago.
         if (m.release == ReleaseStage.GONE || report.position <= m.position) return
         if (report.position.session <= m.lapsedSession) return
-        if (m.type == null) {
-            m.type = types[report.type]
-            m.zone = report.zone
-            m.spot = report.spot
-        }
+        m.describe(types[report.type], report.zone, report.spot)
         if (!m.up) {
             m.idleSince = now
             m.lastProper = now
@@ -238,7 +231,6 @@
         for (a in m.attempts.values) {
             val grace = a.killGraceS ?: continue
             if (!a.neverSent && commands.size < MAX_COMMANDS) {
-                a.killAnnounced = true
                 commands.add(Command.Kill(a.ref, a.number, grace))
             }
         }
@@ -368,11 +360,7 @@
             val m = machines.getOrPut(l.id) {
                 Machine(l.id, now).also { it.rentedAt = Instant(now.ms - (l.ageS * 1000).toLong()) }
             }
-            if (m.type == null) {
-                m.type = types[l.type]
-                m.zone = l.zone
-                m.spot = l.spot
-            }
+            m.describe(types[l.type], l.zone, l.spot)
             m.lastListed = now
             m.listedFailed = l.stage == ListedStage.FAILED
         }
@@ -396,7 +384,7 @@
             m.release = ReleaseStage.GONE
             m.up = false
             for (a in m.attempts.values.toList()) lost(a, now)
-            fleet.released(id, now)
+            fleet.released(id)
         }
     }
 
@@ -455,7 +443,7 @@
 
     // ---- rounds ----------------------------------------------------------------------------------------------
 
-    private class Batch(val id: Long) {
+    private class Batch {
         val conditions = LinkedHashMap<String, Revision>()
         val puts = ArrayList<Pair<String, Map<String, Any?>>>()
         val removes = ArrayList<String>()
@@ -479,7 +467,7 @@
     }
 
     private fun compose(now: Instant, mayGoOn: () -> Boolean) {
-        val b = Batch(nextBatch++)
+        val b = Batch()
         val room = minOf(settings.state.opsPerCommit, writes.available(now).toInt())
         if (room <= 0) return
         for (job in jobs.values) {
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -57,14 +57,14 @@
         releasesLogged[id] = Instant.NEVER
     }
 
-    fun released(id: MachineId, now: Instant) {
+    fun released(id: MachineId) {
         log.info("machine {} returned", id)
         releasesLogged.remove(id)
         dropRecords.add(Keys.release(id))
     }
 
     fun cameUp(machine: Machine) {
-        log.info("machine {} is up: {}{} in {}", machine.id, machine.type?.name, if (machine.spot) " (spot)" else "", machine.zone)
+        log.info("machine {} is up: {}{} in {}", machine.id, machine.type?.name, spotLabel(machine.spot), machine.zone)
     }
 
     fun onRented(key: String, rented: List<MachineId>?, now: Instant) {
@@ -79,12 +79,12 @@
             refusals.remove(market)
         }
         if (rented == null) {
-            log.info("no capacity for {} {}{} in {}", order.count, order.type, if (order.spot) " (spot)" else "", order.zone)
+            log.info("no capacity for {} {}{} in {}", order.count, order.type, spotLabel(order.spot), order.zone)
             rentals.remove(key)
             dropRecords.add(key)
             return
         }
-        log.info("rented {} of {} {}{} in {}: {}", rented.size, order.count, order.type, if (order.spot) " (spot)" else "", order.zone, rented)
+        log.info("rented {} of {} {}{} in {}: {}", rented.size, order.count, order.type, spotLabel(order.spot), order.zone, rented)
         rental.record = RentRecord(order, rented)
         rental.stage = RentStage.ANSWERED
         rented.forEach { machineOf(it, order, now) }
@@ -101,13 +101,10 @@
         for (id in ids) if (id in releasesLogged) releasesLogged[id] = now + tunables.collectorPeriod
     }
 
+    private fun spotLabel(spot: Boolean) = if (spot) " (spot)" else ""
+
     private fun machineOf(id: MachineId, order: RentOrder, now: Instant) {
-        val m = machines.getOrPut(id) { Machine(id, now) }
-        if (m.type == null) {
-            m.type = types[order.type]
-            m.zone = order.zone
-            m.spot = order.spot
-        }
+        machines.getOrPut(id) { Machine(id, now) }.describe(types[order.type], order.zone, order.spot)
     }
 
     // ---- what is to be written and done ----------------------------------------------------------------------
@@ -312,7 +309,7 @@
         val step = term.value * TERM_STRIDE + nextRental++
         val order = RentOrder("r-$step", type.name, zone, spot, count)
         rentals[Keys.rent(step)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now)
-        log.info("wanted: {} {}{} in {}", count, type.name, if (spot) " (spot)" else "", zone)
+        log.info("wanted: {} {}{} in {}", count, type.name, spotLabel(spot), zone)
     }
 
     private fun retire(now: Instant, bins: List<Bin>) {
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -64,6 +64,14 @@
 
     val free: Resources get() = (type?.size ?: Resources.NONE) - used
 
+    /** What it is, from whoever tells first: a report, a list or the answer to a rental. */
+    fun describe(type: MachineType?, zone: String, spot: Boolean) {
+        if (this.type != null) return
+        this.type = type
+        this.zone = zone
+        this.spot = spot
+    }
+
     fun attach(attempt: Attempt) {
         attempts[attempt.ref] = attempt
         used += attempt.job.spec.need
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -43,7 +43,6 @@
 
     /** Grace of the kill this attempt is to get, null while it is wanted. */
     var killGraceS: Double? = null
-    var killAnnounced = false
 
     /** When it was first seen running. */
     var runningSince: Instant? = null
--- a/src/main/kotlin/dewwing/protocol/Pack.kt
+++ b/src/main/kotlin/dewwing/protocol/Pack.kt
@@ -124,8 +124,6 @@
 class Fields(private val map: Map<*, *>) {
     val raw: Map<*, *> get() = map
 
-    fun has(name: String): Boolean = map[name] != null
-
     fun text(name: String): String = map[name] as? String ?: wrong(name, "text")
 
     fun textOrNull(name: String): String? = if (map[name] == null) null else text(name)
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -227,14 +227,19 @@
             }
         }
 
-        private fun begin(h: Held, spec: JobSpec) {
-            if (!h.alive || h.stage == TaskStage.ENDED || gone) return
+        /** Whether [h] can go on now; on a hanging machine [later] is tried when it resumes. */
+        private fun awake(h: Held, later: () -> Unit): Boolean {
+            if (!h.alive || h.stage == TaskStage.ENDED || gone) return false
             if (hungUntil > now) {
-                after(hungUntil - now + 1) { begin(h, spec) }
-                return
+                after(hungUntil - now + 1, later)
+                return false
             }
             checkLease()
-            if (!h.alive) return
+            return h.alive
+        }
+
+        private fun begin(h: Held, spec: JobSpec) {
+            if (!awake(h) { begin(h, spec) }) return
             h.stage = TaskStage.RUNNING
             h.on = true
             rules.starts(h.task, id, type.name, zone, spot, now)
@@ -243,13 +248,7 @@
         }
 
         private fun finish(h: Held, spec: JobSpec) {
-            if (!h.alive || h.stage == TaskStage.ENDED || gone) return
-            if (hungUntil > now) {
-                after(hungUntil - now + 1) { finish(h, spec) }
-                return
-            }
-            checkLease()
-            if (!h.alive) return
+            if (!awake(h) { finish(h, spec) }) return
             if (random.nextDouble() < trouble.errorShare) {
                 exit(h, EndCause.ERROR)
                 return
