Deaf and silent machines, late copies, a leader the workers cannot reach, answers at once when cut off

Answers that do not reach a machine left it accepting work for ever; a late copy took away what the newest report was still to be told, and could bring back a machine that was returned; a leader cut off from its workers alone kept its hold; a follower cut off from state and siblings named an old leader and let users wait for timeouts.

--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -72,6 +72,7 @@
         if ('/' in rest) return HttpAnswer.error(404, "no such path")
         val ref = JobRef.parse(rest) ?: return HttpAnswer.error(404, "no such job")
         if (request.method != "GET") return notAllowed("GET")
+        finals.getIfPresent(ref.value)?.let { return HttpAnswer.of(200, Wire.queryAnswer(ref, it, 0, 0)) }
         return guarded(request, relayed) { query(ref) }
     }
 
@@ -85,6 +86,8 @@
         try {
             // Trying what has just failed would cost the user its timeout first.
             if (!relayed && host.cutOffAlone) host.relay(request)?.let { return it }
+            // Nobody else to ask, and waiting once more for what does not answer would only cost the user time.
+            if (state.givenUp) return HttpAnswer.error(503, "the state service cannot be reached", RETRY_S)
             return block()
         } catch (e: StateUnavailableException) {
             val other = if (relayed) null else host.relay(request)
@@ -149,13 +152,18 @@
 
     private suspend fun read(ref: JobRef): Pair<JobRecord, Revision>? {
         val entry = state.get(Keys.job(ref)) ?: return null
-        val record = JobRecord.of(entry.value ?: return null)
+        val record = try {
+            JobRecord.of(entry.value ?: return null)
+        } catch (e: MalformedException) {
+            // The job is known, whatever happened to its record: neither 404 nor an end of this process.
+            throw StateUnavailableException("record of $ref cannot be read: ${e.message}", certainlyNot = false)
+        }
         if (record.isFinal) finals.put(ref.value, record.stage)
         return record to entry.revision
     }
 
     private suspend fun query(ref: JobRef): HttpAnswer {
-        val stage = finals.getIfPresent(ref.value) ?: (read(ref) ?: return HttpAnswer.error(404, "no such job")).first.stage
+        val stage = (read(ref) ?: return HttpAnswer.error(404, "no such job")).first.stage
         if (stage == JobStage.DONE || stage == JobStage.ABORTED) {
             return HttpAnswer.of(200, Wire.queryAnswer(ref, stage, 0, 0))
         }
--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -79,6 +79,7 @@
     private val workers = WorkerClient(selector) { call, outcome -> metrics.called("worker", call, outcome) }
     private val peers = settings.siblings.associate { it.name to PeerClient(selector, it.endpoint) }
     private val words = HashMap<String, SiblingWord>()
+    private val workersAt = HashMap<String, Boolean>()
     private val leadership = Leadership(
         ttl = options.holdTtl,
         margin = Span(HOLD_MARGIN_MS),
@@ -88,6 +89,18 @@
     private val api: UserApi
     private var types: List<MachineType> = emptyList()
     private var leaderName: String? = null
+
+    /** When [leaderName] was last confirmed; an old name would send workers to a controller that may be gone. */
+    private var leaderSeenAt = Instant.NEVER
+
+    /** When the state service itself last named the leader to this controller. */
+    private var leaderReadAt = Instant.NEVER
+
+    /** When a worker last reported here while another controller led, or nobody. */
+    private var turnedAwayAt = Instant.NEVER
+
+    /** Until then somebody whom the workers can reach is to lead. */
+    private var standBackUntil = Instant.NEVER
     private var leading: Leader? = null
 
     override val machineTypes: Collection<MachineType> get() = types
@@ -139,9 +152,12 @@
     private fun notAllowed(method: String) =
         HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
 
-    private fun health(): HttpAnswer =
-        if (types.isEmpty()) HttpAnswer.error(503, "machine types are not known yet", 1)
-        else HttpAnswer.of(200, emptyMap<String, Any?>())
+    /** A controller cut off from the state service and from every sibling can do nothing for a user. */
+    private fun health(): HttpAnswer = when {
+        types.isEmpty() -> HttpAnswer.error(503, "machine types are not known yet", 1)
+        state.givenUp && peers.isNotEmpty() && freshWords().isEmpty() -> HttpAnswer.error(503, "cut off", 1)
+        else -> HttpAnswer.of(200, emptyMap<String, Any?>())
+    }
 
     private fun scrape(): HttpAnswer {
         val scheduler = leading?.scheduler
@@ -160,6 +176,7 @@
         val lead = leading
         var authority = leadership.authority(now(), state.failing)
         if (lead == null || authority == Authority.NONE) return elsewhere()
+        lead.heardWorker()
         val scheduler = lead.scheduler ?: return HttpAnswer.of(200, Wire.reportAnswer(lead.term, emptyList()))
         scheduler.onReport(report, now())
         if (authority == Authority.FULL) {
@@ -171,11 +188,27 @@
         return HttpAnswer.of(200, Wire.reportAnswer(lead.term, commands))
     }
 
-    private fun elsewhere() = HttpAnswer.of(421, Wire.redirect(leaderName?.takeIf { it != settings.node }))
+    private fun elsewhere(): HttpAnswer {
+        turnedAwayAt = now()
+        return HttpAnswer.of(421, Wire.redirect(leaderName?.takeIf { it != settings.node && now() - leaderSeenAt < LEADER_FRESH }))
+    }
+
+    private fun sawLeader(name: String?) {
+        leaderName = name
+        leaderSeenAt = now()
+    }
 
     // ---- siblings --------------------------------------------------------------------------------------------
 
-    private fun ownWord() = PeerWord(!state.failing && state.lastAnswered > Instant.NEVER, leadership.highestTerm, leaderName ?: "")
+    private fun ownWord(): PeerWord {
+        val sure = leading != null || now() - leaderReadAt < LEADER_FRESH
+        return PeerWord(
+            reachesState = !state.failing && state.lastAnswered > Instant.NEVER,
+            highestTerm = leadership.highestTerm,
+            leader = leaderName?.takeIf { sure } ?: "",
+            workersHere = now() - turnedAwayAt < TURNED_AWAY,
+        )
+    }
 
     private suspend fun sayWords(name: String, client: PeerClient) {
         while (true) {
@@ -186,6 +219,7 @@
                     // Dated when it was asked for: the sibling said it later than that, never earlier.
                     val word = SiblingWord(sent, answer.word.reachesState, answer.word.highestTerm)
                     words[name] = word
+                    workersAt[name] = answer.word.workersHere
                     leadership.heard(name, word)
                     hearLeader(answer.word)
                 }
@@ -197,9 +231,10 @@
     }
 
     private fun hearLeader(word: PeerWord) {
-        if (leaderName == null && word.leader.isNotEmpty() && word.leader != settings.node &&
+        val fresher = word.leader == leaderName || now() - leaderReadAt >= LEADER_FRESH || leaderName == null
+        if (fresher && leading == null && word.leader.isNotEmpty() && word.leader != settings.node &&
             word.highestTerm >= leadership.highestTerm
-        ) leaderName = word.leader
+        ) sawLeader(word.leader)
     }
 
     private suspend fun answerPeer(request: PeerRequest): PeerAnswer = when (request) {
@@ -217,11 +252,13 @@
         }
     }
 
-    private fun ableSiblings(): Set<String> {
-        val fresh = now()
-        return words.filter { it.value.reachesState && (fresh - it.value.at).ms < RELAY_WORD_MS }.keys
+    private fun freshWords(): Set<String> {
+        val at = now()
+        return words.filter { (at - it.value.at).ms < RELAY_WORD_MS }.keys
     }
 
+    private fun ableSiblings(): List<String> = freshWords().filter { words[it]?.reachesState == true }
+
     override val cutOffAlone: Boolean get() = state.failing && ableSiblings().isNotEmpty()
 
     override suspend fun relay(request: HttpRequest): HttpAnswer? {
@@ -288,7 +325,10 @@
             try {
                 val seen = readTerm()
                 if (seen.holder != null && seen.holderName != settings.node) {
-                    leaderName = seen.holderName
+                    sawLeader(seen.holderName)
+                    leaderReadAt = leaderSeenAt
+                } else if (seen.holder == null && now() < standBackUntil) {
+                    leaderName = null
                 } else if (seen.holder == null) {
                     leaderName = null
                     // Siblings see the hold end at the same moment.
@@ -313,7 +353,8 @@
         var term = Term.NONE
         var revision = Revision.ABSENT
         var holder: Wire.Entry? = null
-        state.list(Keys.TERM) { entries ->
+        // A short wait: after a cut, a read that hangs would hide for seconds that the service answers again.
+        state.list(Keys.TERM, TERM_READ_MS) { entries ->
             for (e in entries) {
                 if (e.key == Keys.TERM) {
                     term = Term((e.value?.get("n") as? Long) ?: 0)
@@ -359,7 +400,7 @@
 
     private suspend fun lead(elected: Elected) {
         log.info("elected for term {}", elected.term)
-        leaderName = settings.node
+        sawLeader(settings.node)
         leadership.elected(elected.term, elected.holdSentAt)
         val leader = Leader(
             term = elected.term,
@@ -377,6 +418,8 @@
             clock = this,
             knownTypes = { types },
             onTypes = ::learned,
+            workersElsewhere = { freshWords().any { workersAt[it] == true } },
+            siblingsHeard = { freshWords().isNotEmpty() },
         )
         leading = leader
         try {
@@ -385,6 +428,7 @@
             leadership.resign()
             leading = null
             leaderName = null
+            if (leader.lostWorkers) standBackUntil = now() + STAND_BACK
             log.info("term {} is over", elected.term)
         }
     }
@@ -403,6 +447,10 @@
         private const val RELAY_MS = 1_800L
         private const val COUNTS_MS = 300L
         private const val TYPES_RETRY_MS = 1_000L
+        private val LEADER_FRESH = Span(3_000)
+        private val TURNED_AWAY = Span(2_500)
+        private val STAND_BACK = Span(10_000)
+        private const val TERM_READ_MS = 1_000L
         private const val ELECTION_POLL_MS = 400L
         private const val ELECTION_JITTER_MS = 120L
         private const val FIRST_MS = 5_000L
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -52,6 +52,10 @@
     private val clock: ApiHost,
     private val knownTypes: () -> List<MachineType>,
     private val onTypes: (List<MachineType>) -> Unit,
+    /** Some sibling lately turned workers away. */
+    private val workersElsewhere: () -> Boolean,
+    /** Words of siblings arrive at all. */
+    private val siblingsHeard: () -> Boolean,
 ) {
     private val log = LoggerFactory.getLogger("leader")
     private val signal = Channel<Unit>(Channel.CONFLATED)
@@ -91,6 +95,12 @@
         }
         work = all
         all.join()
+        // Given back at once, or nobody could be elected until it runs out.
+        try {
+            if (lostWorkers) state.dropHold(hold)
+        } catch (e: IOException) {
+            log.debug("hold not given back: {}", e.message)
+        }
     }
 
     private fun end(reason: String) {
@@ -120,8 +130,40 @@
         }
     }
 
+    private var quietTicks = 0
+
+    /** The term ended since the workers could not reach this controller. */
+    var lostWorkers = false
+        private set
+
+    fun heardWorker() {
+        quietTicks = 0
+    }
+
+    /**
+     * A leader that no worker reaches any more, while siblings turn workers away, hands over: the state service would
+     * go on renewing its hold for ever and every lease would lapse. Ticks are counted, not time, so that a stalled
+     * process first reads what has come in. Without words of siblings it waits longer.
+     */
+    private suspend fun watchWorkers() {
+        val near = (core.workers.report.ms * LOST_REPORTS).toLong() / TICK_MS + LOST_SLACK_TICKS
+        val far = core.workers.lease.ms * 2 / 3 / TICK_MS
+        while (true) {
+            delay(TICK_MS)
+            quietTicks++
+            val s = scheduler ?: continue
+            if (quietTicks < near || s.reportingMachines() < LOST_LEAST) continue
+            val lost = if (siblingsHeard()) workersElsewhere() else quietTicks >= far
+            if (!lost) continue
+            lostWorkers = true
+            end("no worker reaches this controller")
+            return
+        }
+    }
+
     private suspend fun serve(): Unit = coroutineScope {
         val since = rebuild()
+        launch { watchWorkers() }
         launch { followJobs(since) }
         launch { watchCloud() }
         decide(this)
@@ -286,6 +328,12 @@
     }
 
     companion object {
+        private const val TICK_MS = 250L
+        private const val LOST_REPORTS = 1.25
+        private const val LOST_SLACK_TICKS = 3L
+
+        /** With fewer machines than this, silence may well be theirs. */
+        private const val LOST_LEAST = 3
         private const val REPORT_ANSWER_MS = 400L
         private const val RENEW_TIMEOUT_MS = 700L
         private const val RENEW_RETRY_MS = 150L
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -25,6 +25,7 @@
 import dewwing.protocol.ListedStage
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
+import dewwing.protocol.Position
 import dewwing.protocol.Report
 import dewwing.protocol.ReportedTask
 import dewwing.protocol.Resources
@@ -75,6 +76,9 @@
     private val olderLeadersUntil = startedAt + tunables.outageBound
     private val leaseSpan = Span((settings.workers.lease.ms * LEASE_DRIFT).toLong() + LEASE_SLACK_MS)
 
+    /** A worker that has not reported for so long is not counted on for new work. */
+    private val silenceSpan = settings.workers.report * SILENT_REPORTS + Span(SILENT_SLACK_MS)
+
     private var ranked: List<Job>? = null
     private var resumeAfter: JobRef? = null
 
@@ -182,14 +186,18 @@
      * possible is decided and logged: a launch that has to wait for the next report leaves the machine idle till then.
      */
     fun onReport(report: Report, now: Instant) {
+        val known = machines[report.machine]
+        // A late copy says nothing new, and its sender dropped the answer long ago. It must touch nothing: not the
+        // lease in our books, not what the newest report is still to be told, not a machine given up or returned.
+        if (known == null && forgotten[report.machine]?.let { report.position <= it } == true) return
+        if (known != null && (known.release == ReleaseStage.GONE || report.position <= known.position)) return
+        if (known != null && report.position.session <= known.lapsedSession) return
         pendingCommands.remove(report.machine)
-        val m = machines.getOrPut(report.machine) {
+        val m = known ?: Machine(report.machine, now).also {
+            machines[it.id] = it
             log.info("machine {} adopted: {} in {}", report.machine, report.type, report.zone)
-            Machine(report.machine, now)
         }
-        // A late copy says nothing new, and its sender dropped the answer long ago.
-        if (m.release == ReleaseStage.GONE || report.position <= m.position) return
-        if (report.position.session <= m.lapsedSession) return
+        judgeHearing(m, report, now)
         m.describe(types[report.type], report.zone, report.spot)
         if (!m.up) {
             m.idleSince = now
@@ -200,6 +208,7 @@
         m.position = report.position
         m.endpoint = Endpoint.parse(report.endpoint)
         m.lastAnswered = now
+        m.heardAt = now
         m.up = true
         if (!sameSession) m.images.clear()
         // A report that carries our term was sent after the worker learned it: older leaders' answers are void now.
@@ -211,6 +220,39 @@
         pendingCommands[m.id] = commands
     }
 
+    /**
+     * Newest message of every machine that was dropped from the books. A copy of one of its reports may still come
+     * when the machine is long gone: adopting it again would put work on a ghost.
+     */
+    private val forgotten = HashMap<MachineId, Position>()
+
+    /**
+     * Tells machines whose reports arrive while our answers do not reach them. One whose answers arrive comes back
+     * with the very next message of its stream within the time it waits for an answer; one whose session ends though
+     * we answered in time, or that never shows a launch, has not heard us.
+     */
+    private fun judgeHearing(m: Machine, report: Report, now: Instant) {
+        if (!m.up) {
+            // Back after a lapse: it shows first that answers reach it, which takes one report.
+            if (m.lapsedAt != null) m.deafSince = now
+            return
+        }
+        val next = report.position.session == m.position.session && report.position.seq == m.position.seq + 1
+        if (next && now - m.heardAt < ANSWER_WAIT) {
+            if (m.deafSince != null) log.info("machine {} hears us again", m.id)
+            m.deafSince = null
+        } else if (report.position.session > m.position.session) {
+            deaf(m, now, "its lease ran out though it was answered")
+        }
+    }
+
+    private fun deaf(m: Machine, now: Instant, sign: String) {
+        if (m.deafSince != null) return
+        log.info("machine {} does not hear us: {}", m.id, sign)
+        m.deafSince = now
+        for (a in m.attempts.values.toList()) if (a.phase == AttemptPhase.READY) lost(a, now)
+    }
+
     /** Reaps and strays found by a machine's newest report, until its answer takes them. */
     private val pendingCommands = HashMap<MachineId, ArrayList<Command>>()
 
@@ -256,7 +298,9 @@
             }
             if (gone) {
                 log.debug("task {} try {} is not on {} any more", a.ref, a.number, m.id)
+                val unheard = a.phase == AttemptPhase.SENT && a.killGraceS == null
                 lost(a, now)
+                if (unheard) deaf(m, now, "a launch never took effect")
             }
         }
     }
@@ -332,8 +376,8 @@
     /** Errors of many jobs mark the machine, errors on many machines mark the job. */
     private fun blame(m: Machine, job: Job, now: Instant) {
         job.failed(now)
-        job.failedOn.add(m.id.value)
-        if (job.failedOn.size <= JOB_FAULT_MACHINES) m.failedJobs.add(job.ref.value)
+        job.failedOn(m.id.value)
+        if (job.machinesFailed <= JOB_FAULT_MACHINES) m.failedJobs.add(job.ref.value)
         if (m.failedJobs.size >= FAULTY_AFTER_JOBS && !m.faulty) {
             log.info("machine {} is taken for faulty: {} jobs failed on it", m.id, m.failedJobs.size)
             m.faulty = true
@@ -366,7 +410,10 @@
         }
         for (m in machines.values.toList()) {
             val stale = now - (m.lastListed ?: m.knownSince) > Span(settings.cloud.listLag.ms * 3 + FORGET_MS)
-            if (stale && !m.up && m.attempts.isEmpty() && m.release != ReleaseStage.LOGGED) machines.remove(m.id)
+            if (stale && !m.up && m.attempts.isEmpty() && m.release != ReleaseStage.LOGGED) {
+                machines.remove(m.id)
+                forgotten[m.id] = if (m.release == ReleaseStage.GONE) LAST_POSITION else maxOf(m.position, Position(m.lapsedSession, Long.MAX_VALUE))
+            }
         }
     }
 
@@ -422,6 +469,17 @@
         )
     }
 
+    /**
+     * What was to be launched by the next report of a machine that has fallen silent goes elsewhere: it was never
+     * sent, so it needs no proof, and waiting for the lease to lapse would cost the job several seconds.
+     */
+    private fun takeBackUnsent(now: Instant) {
+        for (m in machines.values) {
+            if (!m.up || now - m.heardAt <= silenceSpan || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
+            for (a in m.attempts.values.toList()) if (a.phase == AttemptPhase.READY) lost(a, now)
+        }
+    }
+
     /** Lets leases run out: without an answer from us since then, the worker has killed everything it had. */
     private fun lapse(now: Instant) {
         for (m in machines.values) {
@@ -459,6 +517,7 @@
     /** One decision round; [mayGoOn] is the caller's time budget. Returns what is to be done outside. */
     fun round(now: Instant, mayGoOn: () -> Boolean): List<Effect> {
         lapse(now)
+        takeBackUnsent(now)
         if (batch == null) compose(now, mayGoOn)
         effects.addAll(fleet.takeEffects(now))
         val out = effects.toList()
@@ -526,7 +585,7 @@
     /** Places jobs in rank order, going on after the job where the last round's budget ended. */
     private fun placeAll(b: Batch, room: Int, now: Instant, mayGoOn: () -> Boolean) {
         val order = ranking()
-        val usable = machines.values.filterTo(ArrayList()) { it.accepts }
+        val usable = machines.values.filterTo(ArrayList()) { it.accepts && now - it.heardAt <= silenceSpan }
         val from = resumeAfter?.let { ref -> order.indexOfFirst { it.ref == ref } + 1 } ?: 0
         resumeAfter = null
         releaseKept(now)
@@ -783,6 +842,9 @@
         return order
     }
 
+    /** Machines whose leases run by our books. */
+    fun reportingMachines(): Int = machines.values.count { it.up }
+
     // ---- looking in ------------------------------------------------------------------------------------------
 
     fun counts(ref: JobRef): JobCounts? {
@@ -816,6 +878,14 @@
 
         /** Timers fire in steps of milliseconds. */
         private const val LEASE_SLACK_MS = 250L
+
+        /** A worker waits this long for an answer before it turns to another controller. */
+        private val ANSWER_WAIT = Span(4_000)
+
+        /** Past every message a machine can send: it was returned and will say nothing new. */
+        private val LAST_POSITION = Position(Long.MAX_VALUE, Long.MAX_VALUE)
+        private const val SILENT_REPORTS = 2.0
+        private const val SILENT_SLACK_MS = 1_000L
         private const val MAX_COMMANDS = 400
         private const val MAX_WAITS = 10_000
         private const val MAX_TASKS_PER_STEP = 1_000
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -159,7 +159,7 @@
         planAt = now
         if (types.isEmpty()) return
         val bins = bins(now)
-        for ((job, count) in demand(ranked, wallNowMs)) cover(job.spec, count, bins, now)
+        for ((job, count) in demand(ranked, wallNowMs)) cover(job, count, bins, now)
         retire(now, bins)
     }
 
@@ -241,10 +241,13 @@
 
     fun fetchS(spec: JobSpec, type: MachineType): Double = spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
 
-    private fun cover(spec: JobSpec, count: Int, bins: MutableList<Bin>, now: Instant) {
+    private fun cover(job: Job, count: Int, bins: MutableList<Bin>, now: Instant) {
+        val spec = job.spec
         var missing = count
         for (bin in bins) {
             if (missing <= 0) return
+            // Where the job has failed it is not placed again: counting on that machine would leave it waiting for ever.
+            if (bin.machine?.id?.value in job.failedOn) continue
             if (!allowed(spec, bin.type, bin.zone, bin.spot)) continue
             val fit = minOf(missing, bin.free.slots(spec.need))
             if (fit <= 0) continue
@@ -329,6 +332,7 @@
             m.listedFailed -> "it failed"
             m.faulty -> "it is faulty"
             m.noticeAt != null -> "the cloud takes it back"
+            m.deafSince?.let { now - it > SILENT_KEEP } == true -> "it does not hear us"
             m.up -> if (!claimed && now - m.idleSince > tunables.idleKeep) "it is idle" else null
             lapsed != null -> if (now - lapsed > SILENT_KEEP) "it is silent" else null
             (now - m.rentedAt).seconds > boot * GIVE_UP_START + LEEWAY_S && now - m.knownSince > SILENT_KEEP ->
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -26,9 +26,15 @@
     /** Last time a report of this machine was answered with our term. */
     var lastAnswered: Instant = Instant.NEVER
 
+    /** When its newest report came. */
+    var heardAt: Instant = Instant.NEVER
+
     /** It reports to us and its lease runs. */
     var up = false
 
+    /** Since when its reports come but our answers do not seem to reach it; nothing new is put there meanwhile. */
+    var deafSince: Instant? = null
+
     /** It has shown that it knows our term: nothing sent by an older leader can reach it any more. */
     var settled = false
 
@@ -87,7 +93,7 @@
 
     /** New work may be put here. */
     val accepts: Boolean
-        get() = up && settled && type != null && noticeAt == null && release == ReleaseStage.NONE && !faulty
+        get() = up && settled && type != null && noticeAt == null && release == ReleaseStage.NONE && !faulty && deafSince == null
 
     fun sawImage(image: String) {
         images.remove(image)
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -75,7 +75,22 @@
     /** Starts are put off until then, after failures. */
     var notBefore: Instant = Instant.NEVER
     var failures = 0
-    val failedOn = HashSet<String>()
+
+    /**
+     * The machines it failed on last, which it avoids. Only the last few: a job with a mistake in it fails everywhere,
+     * and a fleet that found it a new machine each time would rent without end.
+     */
+    val failedOn = LinkedHashSet<String>()
+
+    /** Machines it has failed on so far. */
+    var machinesFailed = 0
+        private set
+
+    fun failedOn(machine: String) {
+        if (!failedOn.add(machine)) return
+        machinesFailed++
+        if (failedOn.size > FAILED_KEPT) failedOn.remove(failedOn.first())
+    }
     var finalAt: Instant? = null
     var waitReason: String? = null
 
@@ -133,6 +148,7 @@
     fun runningCount(): Int = live.values.count { it.stage == TaskStage.RUNNING || it.stage == TaskStage.SAVING }
 
     companion object {
+        private const val FAILED_KEPT = 3
         private const val FIRST_BACKOFF_MS = 500L
         private const val MAX_BACKOFF_SHIFT = 6
     }
--- a/src/main/kotlin/dewwing/control/core/placement/Placement.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Placement.kt
@@ -59,12 +59,11 @@
         val perZone = HashMap<String, Int>()
         if (spread) for (a in job.live.values) perZone.merge(a.machine.zone, 1, Int::plus)
         val zoneCap = if (spread) (spec.tasks + 1) / 2 else Int.MAX_VALUE
-        val left = machines.filterTo(ArrayList()) { it.free.holds(spec.need) }
         val out = ArrayList<Placement>()
         var missing = limit
-        while (missing > 0 && left.isNotEmpty()) {
-            val best = left.maxWithOrNull(preference(spec)) ?: break
-            left.remove(best)
+        // What is put on one machine changes no other one's rank, so one ordering serves all tasks.
+        for (best in ordered(spec, machines)) {
+            if (missing <= 0) break
             val zoneRoom = zoneCap - (perZone[best.zone] ?: 0)
             val count = minOf(missing, best.free.slots(spec.need), zoneRoom)
             if (count <= 0) continue
@@ -75,10 +74,24 @@
         return if (job.isGang && missing > 0) emptyList() else out
     }
 
-    private fun preference(spec: JobSpec): Comparator<Machine> =
-        compareBy<Machine> { Math.round(fullness(it.type?.size ?: Resources.NONE, it.used, spec.need) * 100) }
-            .thenBy { spec.image in it.images }
-            .thenBy { it.spot }
-            .thenBy { it.attempts.size }
-            .thenByDescending { it.id }
+    private class Candidate(val machine: Machine, val fullness: Long, val hasImage: Boolean)
+
+    /** The machines that can hold a task, the one it leaves fullest first. */
+    private fun ordered(spec: JobSpec, machines: List<Machine>): List<Machine> {
+        val fitting = ArrayList<Candidate>()
+        for (m in machines) {
+            if (!m.free.holds(spec.need)) continue
+            val full = Math.round(fullness(m.type?.size ?: Resources.NONE, m.used, spec.need) * 100)
+            fitting.add(Candidate(m, full, spec.image in m.images))
+        }
+        fitting.sortWith(preference)
+        return fitting.map { it.machine }
+    }
+
+    private val preference: Comparator<Candidate> =
+        compareByDescending<Candidate> { it.fullness }
+            .thenByDescending { it.hasImage }
+            .thenByDescending { it.machine.spot }
+            .thenByDescending { it.machine.attempts.size }
+            .thenBy { it.machine.id }
 }
--- a/src/main/kotlin/dewwing/control/http/HttpServer.kt
+++ b/src/main/kotlin/dewwing/control/http/HttpServer.kt
@@ -177,6 +177,12 @@
         } catch (e: IOException) {
             log.warn("{} {} failed: {}", method, path, e.message)
             HttpAnswer.error(503, "try again", 1)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: RuntimeException) {
+            // A fault in answering one request must not end the process, which serves all the others.
+            log.error("{} {} failed", method, path, e)
+            HttpAnswer.error(503, "try again", 1)
         }
         return write(output, answer, close) && !close
     }
--- a/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
+++ b/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
@@ -17,7 +17,11 @@
     class Relay(val method: String, val path: String, val body: ByteArray) : PeerRequest
 }
 
-data class PeerWord(val reachesState: Boolean, val highestTerm: Term, val leader: String)
+/**
+ * [leader] is told only by who leads or has just read it from the state service, so that no two controllers keep an
+ * old name alive between them. [workersHere] says that workers lately reported to a controller that does not lead.
+ */
+data class PeerWord(val reachesState: Boolean, val highestTerm: Term, val leader: String, val workersHere: Boolean)
 
 sealed interface PeerAnswer {
     data class Word(val word: PeerWord) : PeerAnswer
@@ -109,9 +113,10 @@
         writeByte(if (w.reachesState) 1 else 0)
         writeLong(w.highestTerm.value)
         text(w.leader)
+        writeByte(if (w.workersHere) 1 else 0)
     }
 
-    private fun Buffer.word() = PeerWord(readByte().toInt() != 0, Term(readLong()), text())
+    private fun Buffer.word() = PeerWord(readByte().toInt() != 0, Term(readLong()), text(), readByte().toInt() != 0)
 
     private fun Buffer.text(s: String) = bytes(s.toByteArray())
     private fun Buffer.text(): String = bytes().decodeToString()
--- a/src/main/kotlin/dewwing/control/state/StateClient.kt
+++ b/src/main/kotlin/dewwing/control/state/StateClient.kt
@@ -4,7 +4,6 @@
 import dewwing.control.core.TokenBucket
 import dewwing.control.http.HttpClient
 import dewwing.control.http.HttpResult
-import dewwing.control.http.NoAnswerException
 import dewwing.protocol.HoldId
 import dewwing.protocol.Instant
 import dewwing.protocol.MalformedException
@@ -51,25 +50,29 @@
     /** True while the newest finished request was refused or went unanswered. */
     var failing: Boolean = false
         private set
+    private var failingSince: Instant = Instant.NEVER
+
+    /** Failing for so long that the next request would most likely fail too: better to say so at once. */
+    val givenUp: Boolean get() = failing && clock() - failingSince > GIVE_UP
 
     suspend fun get(key: String): Wire.Entry? {
         val result = call("get", "GET", "${Wire.STORE}/$key", null, READ_MS)
         return when (result.status) {
-            200 -> Wire.entry(Pack.decodeMap(result.body))
+            200 -> decoded("get") { Wire.entry(Pack.decodeMap(result.body)) }
             404 -> null
             else -> throw unavailable("get", result)
         }
     }
 
     /** Every key with [prefix]; also a revision no newer than what was read, to follow on from. */
-    suspend fun list(prefix: String, onPage: (List<Wire.Entry>) -> Unit): Revision {
+    suspend fun list(prefix: String, timeoutMs: Long = LIST_MS, onPage: (List<Wire.Entry>) -> Unit): Revision {
         var after: String? = null
         var first: Revision? = null
         while (true) {
             val since = after?.let { "&since=" + escape(it) } ?: ""
-            val result = call("list", "GET", "${Wire.STORE}?under=${escape(prefix)}$since&limit=$PAGE", null, LIST_MS)
+            val result = call("list", "GET", "${Wire.STORE}?under=${escape(prefix)}$since&limit=$PAGE", null, timeoutMs)
             if (result.status != 200) throw unavailable("list", result)
-            val (entries, more, revision) = Wire.page(Pack.decodeMap(result.body))
+            val (entries, more, revision) = decoded("list") { Wire.page(Pack.decodeMap(result.body)) }
             if (first == null) first = revision
             onPage(entries)
             if (!more || entries.isEmpty()) return first
@@ -85,8 +88,8 @@
         )
         val result = call("commit", "POST", Wire.COMMIT, Pack.encode(body), WRITE_MS)
         return when (result.status) {
-            200 -> CommitResult.Applied(Wire.tide(Pack.decodeMap(result.body)))
-            409 -> CommitResult.Conflict(Wire.failedKeys(Pack.decodeMap(result.body)))
+            200 -> CommitResult.Applied(decoded("commit") { Wire.tide(Pack.decodeMap(result.body)) })
+            409 -> CommitResult.Conflict(decoded("commit") { Wire.failedKeys(Pack.decodeMap(result.body)) })
             400 -> if (hold != null) CommitResult.HoldEnded else throw unavailable("commit", result)
             else -> throw unavailable("commit", result)
         }
@@ -95,7 +98,7 @@
     suspend fun createHold(ttl: Span): HoldId {
         val result = call("hold", "POST", Wire.HOLDS, Pack.encode(Wire.holdBody(ttl)), HOLD_MS)
         if (result.status != 200) throw unavailable("hold", result)
-        return Wire.holdId(Pack.decodeMap(result.body))
+        return decoded("hold") { Wire.holdId(Pack.decodeMap(result.body)) }
     }
 
     /** False when the hold has ended. */
@@ -139,14 +142,14 @@
         val result = try {
             http.call(method, target, body, ms)
         } catch (e: IOException) {
-            failing = true
+            failed()
             onOutcome(name, "silent")
             http.forgetConnections()
             throw StateUnavailableException(e.message ?: "no answer", certainlyNot = false)
         }
         onOutcome(name, result.status.toString())
         if (result.status == 503) {
-            failing = true
+            failed()
         } else {
             failing = false
             lastAnswered = clock()
@@ -154,6 +157,11 @@
         return result
     }
 
+    private fun failed() {
+        if (!failing) failingSince = clock()
+        failing = true
+    }
+
     private fun unavailable(name: String, result: HttpResult): StateUnavailableException {
         val not = result.status == 503 || result.status == 429 || result.status == 400
         return StateUnavailableException("$name: state service answered ${result.status}", certainlyNot = not)
@@ -162,7 +170,7 @@
     private inline fun <T> decoded(name: String, block: () -> T): T = try {
         block()
     } catch (e: MalformedException) {
-        throw NoAnswerException("$name: ${e.message}")
+        throw StateUnavailableException("$name: ${e.message}", certainlyNot = false)
     }
 
     private suspend fun TokenBucket.take() {
@@ -176,6 +184,7 @@
     private fun escape(text: String): String = URLEncoder.encode(text, Charsets.UTF_8).replace("%2F", "/")
 
     companion object {
+        private val GIVE_UP = Span(700)
         private const val PAGE = 500
         private const val READ_MS = 1_500L
         private const val LIST_MS = 4_000L
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -203,6 +203,7 @@
         val placed = HashSet<String>()
         repeat(60) {
             now += 1_000
+            report("m-1")
             var left = 3
             for (e in scheduler.round(Instant(now)) { left-- > 0 }) {
                 if (e !is Effect.Write) continue
--- a/src/test/kotlin/dewwing/protocol/FormatsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -154,7 +154,7 @@
 
     @Test
     fun `messages between controllers survive their frames, and garbage is an IOException`() {
-        val word = PeerWord(true, Term(7), "n-1")
+        val word = PeerWord(true, Term(7), "n-1", true)
         val request = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Word("n-0", word)))
         assertEquals(PeerRequest.Word("n-0", word), request)
         assertEquals(PeerAnswer.Counts(true, 2, 3), PeerCodec.decodeAnswer(PeerCodec.encode(PeerAnswer.Counts(true, 2, 3))))
