--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -9,6 +9,7 @@
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.leadership.Authority
 import dewwing.control.core.leadership.Leadership
@@ -186,7 +187,9 @@
                 state.list(Keys.RENTS) { page ->
                     for (e in page) read(e) { s.restoreRent(e.key, RentRecord.of(it), clock.now()) }
                 }
-                state.list(Keys.RELEASES) { page -> for (e in page) s.restoreRelease(Keys.releaseOf(e.key)) }
+                state.list(Keys.RELEASES) { page ->
+                    for (e in page) read(e) { s.restoreRelease(e.key, ReleaseRecord.of(e.key, it)) }
+                }
                 s.restored(clock.now())
                 scheduler = s
                 return since
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -7,6 +7,7 @@
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
 import dewwing.control.core.intent.Ranges
+import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.job.Attempt
 import dewwing.control.core.job.AttemptPhase
@@ -124,9 +125,9 @@
 
     fun restoreRent(key: String, record: RentRecord, now: Instant) = fleet.restoreRent(key, record, now)
 
-    fun restoreRelease(id: MachineId) {
-        machines.getOrPut(id) { Machine(id, startedAt) }.release = ReleaseStage.LOGGED
-        fleet.releaseLogged(id)
+    fun restoreRelease(key: String, record: ReleaseRecord) {
+        for (id in record.machines) machines.getOrPut(id) { Machine(id, startedAt) }.release = ReleaseStage.LOGGED
+        fleet.releaseLogged(key, record)
     }
 
     fun restored(now: Instant) {
@@ -562,14 +563,13 @@
     }
 
     private fun addFleetWrites(b: Batch, room: Int, now: Instant) {
-        for (m in fleet.releasesWanted()) {
+        for ((key, record) in fleet.releaseWrites(settings.state.valueBytes - RECORD_SLACK)) {
             if (b.ops >= room) break
-            b.puts.add(Keys.release(m.id) to mapOf("at" to term.value))
+            b.puts.add(key to record.toValue())
             b.onApplied.add {
-                m.release = ReleaseStage.LOGGED
-                fleet.releaseLogged(m.id)
+                for (id in record.machines) machines[id]?.release = ReleaseStage.LOGGED
+                fleet.releaseLogged(key, record)
             }
-            b.onRefused.add { m.release = ReleaseStage.WANTED }
         }
         for ((key, record) in fleet.rentWrites()) {
             if (b.ops >= room) break
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -4,6 +4,7 @@
 import dewwing.control.core.Effect
 import dewwing.control.core.RentOrder
 import dewwing.control.core.intent.Keys
+import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.job.Job
 import dewwing.control.core.placement.Placer
@@ -41,6 +42,10 @@
     private val refusedUntil = HashMap<Market, Instant>()
     private val refusals = HashMap<Market, Int>()
     private val releasesLogged = LinkedHashMap<MachineId, Instant>()
+
+    /** Machines of each release record that the cloud has not confirmed yet. */
+    private val releaseRecords = LinkedHashMap<String, MutableSet<MachineId>>()
+    private var nextRelease = 1L
     private val dropRecords = LinkedHashSet<String>()
     private var nextRental = 1L
     private var planAt = Instant.NEVER
@@ -53,14 +58,15 @@
         record.rented?.forEach { machineOf(it, record.order, now) }
     }
 
-    fun releaseLogged(id: MachineId) {
-        releasesLogged[id] = Instant.NEVER
+    fun releaseLogged(key: String, record: ReleaseRecord) {
+        releaseRecords[key] = LinkedHashSet(record.machines)
+        for (id in record.machines) releasesLogged[id] = Instant.NEVER
     }
 
     fun released(id: MachineId) {
         log.info("machine {} returned", id)
         releasesLogged.remove(id)
-        dropRecords.add(Keys.release(id))
+        for ((key, left) in releaseRecords) if (left.remove(id) && left.isEmpty()) dropRecords.add(key)
     }
 
     fun cameUp(machine: Machine) {
@@ -109,7 +115,14 @@
 
     // ---- what is to be written and done ----------------------------------------------------------------------
 
-    fun releasesWanted(): List<Machine> = machines.values.filter { it.release == ReleaseStage.WANTED }
+    /** The machines to be returned, the dearest first, in records of up to [bytes]. */
+    fun releaseWrites(bytes: Int): List<Pair<String, ReleaseRecord>> {
+        val wanted = machines.values.filter { it.release == ReleaseStage.WANTED }
+        if (wanted.isEmpty()) return emptyList()
+        val perRecord = minOf(MAX_RELEASE, maxOf(1, bytes / (wanted.maxOf { it.id.value.length } + RELEASE_ENTRY_BYTES)))
+        return wanted.sortedByDescending { if (it.spot) it.type?.spotPrice else it.type?.price }.chunked(perRecord)
+            .map { part -> Keys.release(term.value * TERM_STRIDE + nextRelease++) to ReleaseRecord(part.map { it.id }) }
+    }
 
     fun rentWrites(): List<Pair<String, RentRecord>> = rentals.entries
         .filter { it.value.stage == RentStage.TO_LOG || it.value.stage == RentStage.ANSWERED }
@@ -149,6 +162,7 @@
     fun recordDropped(key: String) {
         dropRecords.remove(key)
         rentals.remove(key)
+        releaseRecords.remove(key)
     }
 
     // ---- wanted state ----------------------------------------------------------------------------------------
@@ -345,6 +359,9 @@
         private const val TERM_STRIDE = 100_000L
         private const val MAX_RENT = 50
         private const val MAX_RELEASE = 100
+
+        /** Quotes and a comma. */
+        private const val RELEASE_ENTRY_BYTES = 3
         private const val MAX_MARKETS = 6
         private const val FIRST_REFUSAL_MS = 5_000L
         private const val MAX_REFUSAL_SHIFT = 3
--- a/src/main/kotlin/dewwing/control/core/intent/Records.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/Records.kt
@@ -31,8 +31,7 @@
     fun jobOf(key: String): JobRef? = JobRef.parse(key.removePrefix(JOBS))
     fun log(ref: JobRef, step: Step): String = "$LOGS${ref.value}/${digits(step.value)}"
     fun rent(step: Long): String = RENTS + digits(step)
-    fun release(machine: MachineId): String = RELEASES + machine.value
-    fun releaseOf(key: String): MachineId = MachineId(key.removePrefix(RELEASES))
+    fun release(step: Long): String = RELEASES + digits(step)
 
     fun logOf(key: String): Pair<JobRef, Step>? {
         val parts = key.removePrefix(LOGS).split('/')
@@ -156,3 +155,19 @@
         }
     }
 }
+
+/**
+ * Machines on their way back to the cloud, as many as one call takes: a record for each would make the change rate
+ * decide how fast a fleet shrinks.
+ */
+data class ReleaseRecord(val machines: List<MachineId>) {
+    fun toValue(): Map<String, Any?> = mapOf("machines" to machines.map { it.value })
+
+    companion object {
+        /** Records of version 0.1.0 name one machine, in their [key]. */
+        fun of(key: String, value: Map<String, Any?>): ReleaseRecord {
+            val listed = Fields(value).textsOrNull("machines") ?: listOf(key.removePrefix(Keys.RELEASES))
+            return ReleaseRecord(listed.map(::MachineId))
+        }
+    }
+}
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -8,6 +8,7 @@
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
 import dewwing.protocol.CloudLimits
 import dewwing.protocol.Command
@@ -401,7 +402,7 @@
                     }
                     k.startsWith(Keys.LOGS) -> if (tamper != Tamper.FORGET_INHERITED) s.restoreLog(k, LogRecord.of(decoded(v.first)))
                     k.startsWith(Keys.RENTS) -> s.restoreRent(k, RentRecord.of(decoded(v.first)), instant())
-                    k.startsWith(Keys.RELEASES) -> s.restoreRelease(Keys.releaseOf(k))
+                    k.startsWith(Keys.RELEASES) -> s.restoreRelease(k, ReleaseRecord.of(k, decoded(v.first)))
                 }
             }
             s.restored(instant())
