--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -14,6 +14,7 @@
 import dewwing.control.core.job.Job
 import dewwing.control.core.placement.Placement
 import dewwing.control.core.placement.Placer
+import dewwing.control.core.placement.Preemption
 import dewwing.control.core.quota.Quota
 import dewwing.protocol.Command
 import dewwing.protocol.EndCause
@@ -72,6 +73,7 @@
     private var batch: Batch? = null
     private val effects = ArrayList<Effect>()
     private val fleet = Fleet(settings, term, machines, types, quota)
+    private val preemption = Preemption(quota, fleet::fetchS)
 
     /** Older leaders' answers may keep a worker's lease alive until then. */
     private val olderLeadersUntil = startedAt + tunables.outageBound
@@ -598,11 +600,18 @@
             }
             if (job.pending.isEmpty || !job.isOpen || job.isComplete || now < job.notBefore) continue
             if (Keys.job(job.ref) in b.conditions) continue
-            val placements = choose(job, usable.filter { it.keptFor == null || it.keptFor === job })
+            val open = usable.filter { it.keptFor == null || it.keptFor === job }
+            val urgent = job.madeRoomAt == null && job.live.isEmpty() && fleet.cannotWaitForBoot(job.spec)
+            var placements = emptyList<Placement>()
+            if (urgent && fleet.fetchMissesStart(job.spec)) {
+                // Fetching its image alone would make it late: machines that have it come first, made free if need be.
+                val ready = open.filter { job.spec.image in it.images }
+                placements = choose(job, ready)
+                if (placements.isEmpty() && makeRoom(job, ready, now)) continue
+            }
+            if (placements.isEmpty()) placements = choose(job, open)
             if (placements.isEmpty()) {
-                if (job.madeRoomAt == null && job.live.isEmpty() && fleet.cannotWaitForBoot(job.spec)) {
-                    makeRoom(job, usable, now)
-                }
+                if (urgent) makeRoom(job, usable, now)
                 // Lower ranks must not take the machine that this gang is next to get.
                 if (job.isGang && job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) reserve(job, usable)
                 continue
@@ -646,28 +655,10 @@
         }
     }
 
-    private class Room(val machine: Machine, val victims: List<Attempt>, val slots: Int, val costS: Double)
-
-    /**
-     * Stops tasks of lower priority so that [job], which cannot wait for a machine to boot, starts now: where the
-     * least work is lost and the image is at hand.
-     */
-    private fun makeRoom(job: Job, usable: List<Machine>, now: Instant) {
-        val spec = job.spec
-        val wanted = if (job.isGang) spec.tasks else minOf(spec.tasks, quota.room(spec))
-        if (wanted <= 0 || quota.room(spec) < wanted) return
-        val rooms = usable.filter { it.keptFor == null && Placer.machineAllowed(spec, it) }.mapNotNull { roomOn(it, spec, now) }
-        val zones = if (spec.oneZone) rooms.groupBy { it.machine.zone }.values else listOf(rooms)
-        val best = zones.mapNotNull { zone ->
-            val chosen = ArrayList<Room>()
-            var slots = 0
-            for (room in zone.sortedBy { it.costS / it.slots }) {
-                if (slots >= wanted) break
-                chosen.add(room)
-                slots += room.slots
-            }
-            chosen.takeIf { slots >= wanted }
-        }.minByOrNull { rooms -> rooms.sumOf { it.costS } } ?: return
+    /** Stops what [Preemption] chose for [job] and keeps the room for it; false when no room can be made. */
+    private fun makeRoom(job: Job, usable: List<Machine>, now: Instant): Boolean {
+        val best = preemption.plan(job.spec, usable, now)
+        if (best.isEmpty()) return false
         job.madeRoomAt = now
         for (room in best) {
             room.machine.keptFor = job
@@ -676,32 +667,7 @@
             }
         }
         log.info("job {} makes room: {} tasks stopped on {}", job.ref, best.sumOf { it.victims.size }, best.map { it.machine.id })
-    }
-
-    /** The cheapest tasks of lower priority to stop on [m] so that at least one task of [spec] fits. */
-    private fun roomOn(m: Machine, spec: JobSpec, now: Instant): Room? {
-        val type = m.type ?: return null
-        val victims = ArrayList<Attempt>()
-        var free = m.free
-        var cost = if (spec.image in m.images) 0.0 else fleet.fetchS(spec, type)
-        val candidates = m.attempts.values
-            .filter { it.job.spec.urgency > spec.urgency && !it.job.isGang && it.killGraceS == null && it.phase != AttemptPhase.LOGGING }
-            .sortedBy { lostS(it, now) }
-        for (a in candidates) {
-            if (free.holds(spec.need)) break
-            victims.add(a)
-            free += a.job.spec.need
-            cost += lostS(a, now)
-        }
-        val slots = free.slots(spec.need)
-        return if (slots == 0) null else Room(m, victims, slots, cost)
-    }
-
-    /** Work that stopping [a] would waste. */
-    private fun lostS(a: Attempt, now: Instant): Double {
-        val spec = a.job.spec
-        val ran = a.runningSince?.let { (now - it).seconds } ?: 0.0
-        return if (spec.checkpointS > 0) minOf(ran, spec.saveS + 1.0) else ran
+        return true
     }
 
     private fun choose(job: Job, usable: List<Machine>): List<Placement> {
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -245,10 +245,20 @@
         return within * HORIZON_SHARE
     }
 
+    /** The shortest time within which tasks of the class are to start, of all its aims. */
+    private fun startAimS(jobClass: String): Double? =
+        settings.objectives.filter { it.kind == ObjectiveKind.WAIT && it.jobClass == jobClass }.minOfOrNull { it.withinS }
+
+    /** A start that has to fetch the image would most likely come too late, since fetches may be a third slower. */
+    fun fetchMissesStart(spec: JobSpec): Boolean {
+        val within = startAimS(spec.jobClass) ?: return false
+        val fetch = Placer.usefulTypes(spec, types.values).minOfOrNull { fetchS(spec, it) } ?: return false
+        return fetch * SLOW_FETCH + START_STEPS_S > within
+    }
+
     /** The class is to start sooner than a machine boots: renting on demand can never meet its aim. */
     fun cannotWaitForBoot(spec: JobSpec): Boolean {
-        val within = settings.objectives
-            .filter { it.kind == ObjectiveKind.WAIT && it.jobClass == spec.jobClass }.minOfOrNull { it.withinS } ?: return false
+        val within = startAimS(spec.jobClass) ?: return false
         val lead = Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: return false
         return within < lead
     }
@@ -366,6 +376,10 @@
         private const val FIRST_REFUSAL_MS = 5_000L
         private const val MAX_REFUSAL_SHIFT = 3
         private const val RECORD_KEEP_MS = 30_000L
+        private const val SLOW_FETCH = 1.2
+
+        /** From acceptance to the launch, and from the image to the report of a running task. */
+        private const val START_STEPS_S = 2.0
         private const val SLOW_START = 2.0
         private const val GIVE_UP_START = 4.0
         private const val LEEWAY_S = 10.0
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
@@ -0,0 +1,63 @@
+package dewwing.control.core.placement
+
+import dewwing.control.core.fleet.Machine
+import dewwing.control.core.job.Attempt
+import dewwing.control.core.job.AttemptPhase
+import dewwing.control.core.quota.Quota
+import dewwing.protocol.Instant
+import dewwing.protocol.JobShape
+import dewwing.protocol.JobSpec
+import dewwing.protocol.MachineType
+
+/** A machine with the tasks to be stopped there, the places that gives, and the work it costs. */
+class Room(val machine: Machine, val victims: List<Attempt>, val slots: Int, val costS: Double)
+
+/**
+ * Chooses which tasks of lower priority to stop so that a job which cannot wait for a machine to boot starts now:
+ * where the least work is lost and the image is at hand.
+ */
+class Preemption(private val quota: Quota, private val fetchS: (JobSpec, MachineType) -> Double) {
+    /** Rooms that together hold the job, or none. */
+    fun plan(spec: JobSpec, usable: List<Machine>, now: Instant): List<Room> {
+        val wanted = if (spec.shape == JobShape.GANG) spec.tasks else minOf(spec.tasks, quota.room(spec))
+        if (wanted <= 0 || quota.room(spec) < wanted) return emptyList()
+        val rooms = usable.filter { it.keptFor == null && Placer.machineAllowed(spec, it) }.mapNotNull { roomOn(it, spec, now) }
+        val zones = if (spec.oneZone) rooms.groupBy { it.machine.zone }.values else listOf(rooms)
+        return zones.mapNotNull { zone ->
+            val chosen = ArrayList<Room>()
+            var slots = 0
+            for (room in zone.sortedBy { it.costS / it.slots }) {
+                if (slots >= wanted) break
+                chosen.add(room)
+                slots += room.slots
+            }
+            chosen.takeIf { slots >= wanted }
+        }.minByOrNull { rooms -> rooms.sumOf { it.costS } } ?: emptyList()
+    }
+
+    /** The cheapest tasks of lower priority to stop on [m] so that at least one task of [spec] fits. */
+    private fun roomOn(m: Machine, spec: JobSpec, now: Instant): Room? {
+        val type = m.type ?: return null
+        val victims = ArrayList<Attempt>()
+        var free = m.free
+        var cost = if (spec.image in m.images) 0.0 else fetchS(spec, type)
+        val candidates = m.attempts.values
+            .filter { it.job.spec.urgency > spec.urgency && !it.job.isGang && it.killGraceS == null && it.phase != AttemptPhase.LOGGING }
+            .sortedBy { lostS(it, now) }
+        for (a in candidates) {
+            if (free.holds(spec.need)) break
+            victims.add(a)
+            free += a.job.spec.need
+            cost += lostS(a, now)
+        }
+        val slots = free.slots(spec.need)
+        return if (slots == 0) null else Room(m, victims, slots, cost)
+    }
+
+    /** Work that stopping [a] would waste. */
+    private fun lostS(a: Attempt, now: Instant): Double {
+        val spec = a.job.spec
+        val ran = a.runningSince?.let { (now - it).seconds } ?: 0.0
+        return if (spec.checkpointS > 0) minOf(ran, spec.saveS + 1.0) else ran
+    }
+}
