--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -473,12 +473,13 @@
     }
 
     /**
-     * What was to be launched by the next report of a machine that has fallen silent goes elsewhere: it was never
-     * sent, so it needs no proof, and waiting for the lease to lapse would cost the job several seconds.
+     * What was to be launched by the next report of a machine goes elsewhere once that machine has fallen silent or
+     * takes nothing new, for instance since it was found faulty: it was never sent, so it needs no proof. Left there it
+     * would wait for the lease to lapse or, on a machine that goes on reporting, for ever.
      */
     private fun takeBackUnsent(now: Instant) {
         for (m in machines.values) {
-            if (!m.up || now - m.heardAt <= silenceSpan || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
+            if (m.accepts && now - m.heardAt <= silenceSpan || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
             for (a in m.attempts.values.toList()) if (a.phase == AttemptPhase.READY) lost(a, now)
         }
     }
--- a/src/test/kotlin/dewwing/world/HistoriesTest.kt
+++ b/src/test/kotlin/dewwing/world/HistoriesTest.kt
@@ -8,7 +8,7 @@
 class HistoriesTest {
     @Test
     fun `a quiet history ends with every job final and the logs collected`() {
-        val quiet = Trouble(Long.MAX_VALUE / 64, 0.0, 0.0, Long.MAX_VALUE / 16, Long.MAX_VALUE / 16, Long.MAX_VALUE / 16, 0.0)
+        val quiet = Trouble(Long.MAX_VALUE / 64, 0.0, 0.0, Long.MAX_VALUE / 16, Long.MAX_VALUE / 16, Long.MAX_VALUE / 16, 0.0, Long.MAX_VALUE / 16, 0.0, Long.MAX_VALUE / 16)
         val world = World(1, quiet)
         assertEquals(emptyList<Any>(), world.play(30, 120_000))
         assertEquals(emptyList<String>(), world.rules.broken)
@@ -22,6 +22,18 @@
             val open = world.play(40, 200_000)
             assertEquals(emptyList<String>(), world.rules.broken, "seed $seed")
             assertEquals(emptyList<Any>(), open, "seed $seed")
+            assertEquals(emptyList<String>(), world.rules.served(), "seed $seed")
+        }
+    }
+
+    @Test
+    fun `deaf machines, late copies, lone controllers and instant restarts break no rule and forget no job`() {
+        for (seed in 200L..220L) {
+            val world = World(seed, Trouble(crashEveryMs = 5_000, deafEveryMs = 6_000, lateCopy = 0.4, loneEveryMs = 8_000, backMs = 1))
+            val open = world.play(30, 150_000)
+            assertEquals(emptyList<String>(), world.rules.broken, "seed $seed")
+            assertEquals(emptyList<Any>(), open, "seed $seed")
+            assertEquals(emptyList<String>(), world.rules.served(), "seed $seed")
         }
     }
 
@@ -59,6 +71,20 @@
     @Test
     fun `a leader that places anywhere is caught`() = caught(World.Tamper.ANY_MACHINE, "wrong_place")
 
+    @Test
+    fun `a leader that goes on alone after losing the state service is caught`() =
+        caught(World.Tamper.LEAD_ALONE, "ran_twice", Trouble(crashEveryMs = 60_000, loneEveryMs = 6_000, cutEveryMs = 8_000))
+
+    @Test
+    fun `a service that never answers again is caught as forgetting`() = caught(World.Tamper.NO_ANSWERS, "forgotten")
+
+    @Test
+    fun `a leader that lets the largest jobs starve is caught`() {
+        val world = World(3, Trouble(), World.Tamper.STARVE_LARGE)
+        world.play(40, 150_000)
+        assertTrue(world.rules.served().any { it.startsWith("largest of c") }, "${world.rules.served()}")
+    }
+
     @Test
     fun `a job called done too early is caught, and so is taking that back, forgetting or inventing one`() {
         caught(World.Tamper.DONE_EARLY, "not_done")
@@ -69,7 +95,7 @@
             dewwing.protocol.JobRef("job-1"), "c", "t", dewwing.protocol.JobShape.ARRAY, dewwing.protocol.Urgency.LOW, 1,
             dewwing.protocol.Resources.NONE, "i", 0.0, null, null, false, false, true, 1.0, 0.0, 0.0, null,
         )
-        rules.accepted(spec)
+        rules.accepted(spec, 0)
         rules.tells(spec.ref, null)
         assertTrue(rules.broken.last().startsWith("forgotten"))
         rules.cancelTold(spec.ref, 0)
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -51,8 +51,9 @@
     private val told = HashMap<JobRef, JobStage>()
     private val completed = HashMap<JobRef, MutableSet<Int>>()
 
-    fun accepted(spec: JobSpec) {
+    fun accepted(spec: JobSpec, now: Long) {
         specs[spec.ref] = spec
+        acceptedAt[spec.ref] = now
     }
 
     fun starts(task: TaskRef, machine: MachineId, type: String, zone: String, spot: Boolean, now: Long) {
@@ -61,6 +62,7 @@
             broken.add("invented: $task starts")
             return
         }
+        begunAt.putIfAbsent(task.job, now)
         onMachine.put(task, machine)?.let { broken.add("ran_twice: $task on $it and $machine at $now") }
         val sum = (use[spec.team] ?: 0.0) + spec.need.cores
         use[spec.team] = sum
@@ -82,6 +84,44 @@
         specs[task.job]?.let { use[it.team] = (use[it.team] ?: 0.0) - it.need.cores }
     }
 
+    private val acceptedAt = HashMap<JobRef, Long>()
+    private val begunAt = HashMap<JobRef, Long>()
+    private val answeredAt = HashMap<JobRef, Long>()
+
+    /** A user asked about [job]. Once troubles are over, 75 s without any answer mean that it is forgotten. */
+    fun asked(job: JobRef, answered: Boolean, now: Long, troublesOver: Long) {
+        if (answered || now < troublesOver) {
+            answeredAt[job] = now
+            return
+        }
+        val since = maxOf(answeredAt[job] ?: 0L, troublesOver)
+        if (now - since >= FORGOTTEN_MS && broken.none { it.startsWith("forgotten: $job") }) broken.add("forgotten: $job unanswered since $since")
+    }
+
+    /**
+     * The day as its users see it: half of each class, of each team and of each class's largest jobs is served, and
+     * the largest begin within four minutes. Cancelled jobs do not count.
+     */
+    fun served(): List<String> {
+        val out = ArrayList<String>()
+        val counted = specs.values.filter { it.ref !in cancelledAt }
+        fun half(what: String, jobs: List<JobSpec>) {
+            val done = jobs.count { (completed[it.ref]?.size ?: 0) == it.tasks }
+            if (done * 2 < jobs.size) out.add("$what: $done of ${jobs.size} served")
+        }
+        for ((team, jobs) in counted.groupBy { it.team }) half("team $team", jobs)
+        for ((jobClass, jobs) in counted.groupBy { it.jobClass }) {
+            half("class $jobClass", jobs)
+            val largest = jobs.sortedByDescending { it.tasks }.take(maxOf(1, jobs.size / 8))
+            half("largest of $jobClass", largest)
+            for (j in largest) {
+                val waited = (begunAt[j.ref] ?: Long.MAX_VALUE) - (acceptedAt[j.ref] ?: 0L)
+                if (waited > LARGEST_BEGIN_MS) out.add("${j.ref}, of the largest of $jobClass, begins after $waited ms")
+            }
+        }
+        return out
+    }
+
     fun completes(task: TaskRef) {
         completed.getOrPut(task.job) { HashSet() }.add(task.index)
     }
@@ -112,6 +152,11 @@
         if (stage == JobStage.DONE && (completed[job]?.size ?: 0) < spec.tasks) broken.add("not_done: $job")
         told[job] = stage
     }
+
+    companion object {
+        private const val FORGOTTEN_MS = 75_000L
+        private const val LARGEST_BEGIN_MS = 240_000L
+    }
 }
 
 /** What may go wrong, and how often. */
@@ -123,6 +168,14 @@
     val hangEveryMs: Long = 30_000,
     val takeEveryMs: Long = 40_000,
     val errorShare: Double = 0.02,
+    /** A machine's reports arrive, but neither answers nor commands reach it. */
+    val deafEveryMs: Long = 45_000,
+    /** Share of reports of which a copy comes again, seconds to well over a lease later. */
+    val lateCopy: Double = 0.05,
+    /** A controller loses the state service and its siblings, but not its workers. */
+    val loneEveryMs: Long = 30_000,
+    /** Least time after which a crashed controller is back. */
+    val backMs: Long = 50,
 )
 
 /**
@@ -133,7 +186,7 @@
  * show that the rules catch it.
  */
 class World(seed: Long, private val trouble: Trouble, private val tamper: Tamper = Tamper.NONE) {
-    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE }
+    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE, NO_ANSWERS, STARVE_LARGE, LEAD_ALONE }
 
     private val random = Random(seed)
     private val events = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
@@ -163,13 +216,15 @@
                 val record = JobRecord.of(v)
                 val seen = tide
                 if (record.isFinal) rules.tells(ref, record.stage)
-                after(random.nextLong(5, 60)) { controllers.forEach { it.scheduler?.onJobEntry(ref, record, Revision(seen), instant()) } }
+                after(random.nextLong(5, 60)) { controllers.forEach { if (!starved(record)) it.scheduler?.onJobEntry(ref, record, Revision(seen), instant()) } }
             }
         }
         for (k in c.removes) store.remove(k)
         return null
     }
 
+    private fun starved(record: JobRecord) = tamper == Tamper.STARVE_LARGE && (record.spec?.tasks ?: 0) > 8
+
     // ---- workers ----
     private inner class Held(val task: TaskRef, val attempt: Step) {
         var stage = TaskStage.FETCHING
@@ -188,6 +243,7 @@
         var gone = false
         var hungUntil = 0L
         var cutUntil = 0L
+        var deafUntil = 0L
 
         fun exit(h: Held, cause: EndCause) {
             if (h.stage == TaskStage.ENDED) return
@@ -291,6 +347,18 @@
             )
             val sentAt = now
             val from = session
+            if (random.nextDouble() < trouble.lateCopy) {
+                after(random.nextLong(2_000, 30_000)) { controllers.forEach { it.answer(r) } }
+            }
+            if (deafUntil > now) {
+                // Heard, but not answered as far as it can tell: it gives up after 4 s and tries another controller.
+                after(random.nextLong(1, 30)) { controllers[target].answer(r) }
+                after(5_000) {
+                    target = (target + 1) % CONTROLLERS
+                    report()
+                }
+                return
+            }
             if (cutUntil > now) {
                 // Held back and delivered late, while its sender has given up.
                 if (random.nextBoolean()) after(random.nextLong(5_000, 40_000)) { controllers[target].answer(r) }
@@ -351,9 +419,12 @@
         var validUntil = 0L
         var life = 0
 
+        /** Until then neither the state service nor a sibling is reached. */
+        var loneUntil = 0L
+
         fun answer(r: Report): Pair<Long, List<Command>>? {
             val s = scheduler ?: return null
-            if (now >= validUntil || r.term.value > term) return null
+            if (now >= validUntil || r.term.value > term && tamper != Tamper.LEAD_ALONE) return null
             s.onReport(r, instant())
             var commands = s.commands(r, instant(), mayStart = true)
             if (tamper == Tamper.IGNORE_CANCEL) commands = commands.filter { it !is Command.Kill }
@@ -362,7 +433,10 @@
 
         fun live(myLife: Int) {
             if (myLife != life) return
-            if (holder == n && holdUntil > now && scheduler != null) {
+            if (now < loneUntil) {
+                // No renewal, no election, no change; its workers it still answers, for as long as it thinks it may.
+                if (tamper == Tamper.LEAD_ALONE) validUntil = now + HOLD_MS
+            } else if (holder == n && holdUntil > now && scheduler != null) {
                 if (random.nextDouble() < 0.97) {
                     holdUntil = now + HOLD_MS
                     validUntil = now + HOLD_MS - 250
@@ -397,6 +471,7 @@
                 when {
                     k.startsWith(Keys.JOBS) -> {
                         val record = JobRecord.of(v.first)
+                        if (starved(record)) continue
                         val lie = if (tamper == Tamper.ANY_MACHINE) record.copy(spec = record.spec?.copy(types = null, spot = true)) else record
                         Keys.jobOf(k)?.let { s.restoreJob(it, lie, Revision(v.second)) }
                     }
@@ -416,7 +491,7 @@
                 is Effect.Write -> write(s, e.change, myLife)
                 is Effect.Kill -> after(random.nextLong(1, 2_000)) {
                     val w = workers[e.machine]
-                    if (w != null && !w.gone && w.hungUntil <= now && w.cutUntil <= now && w.crest <= term && w.session == e.session &&
+                    if (w != null && !w.gone && w.hungUntil <= now && w.cutUntil <= now && w.deafUntil <= now && w.crest <= term && w.session == e.session &&
                         tamper != Tamper.IGNORE_CANCEL
                     ) {
                         w.crest = term
@@ -439,6 +514,10 @@
 
         private fun write(s: Scheduler, change: StateChange, myLife: Int) {
             if (life != myLife || scheduler !== s) return
+            if (now < loneUntil) {
+                after(300) { write(s, change, myLife) }
+                return
+            }
             val lost = random.nextDouble() < trouble.loseAnswer
             val late = random.nextDouble() < trouble.lateCommit
             if (late) after(random.nextLong(1_000, 30_000)) { commit(change) }
@@ -458,7 +537,7 @@
             scheduler = null
             validUntil = 0
             val mine = life
-            after(random.nextLong(100, 4_000)) { live(mine) }
+            after(random.nextLong(trouble.backMs, 4_000)) { live(mine) }
         }
     }
 
@@ -475,7 +554,7 @@
     private fun submit(i: Int) {
         val gang = random.nextInt(4) == 0
         val spec = JobSpec(
-            JobRef("job-%06d".format(i)), "c", "t", if (gang) JobShape.GANG else JobShape.ARRAY,
+            JobRef("job-%06d".format(i)), if (gang) "gangs" else "c", "t", if (gang) JobShape.GANG else JobShape.ARRAY,
             Urgency.entries.random(random), if (gang) random.nextInt(1, 5) else random.nextInt(1, 12),
             Resources(random.nextInt(1, 3).toDouble(), 0.0, 1.0), "i${random.nextInt(3)}", 1.0,
             if (random.nextInt(3) == 0) listOf("big") else null, if (random.nextInt(4) == 0) "a" else null,
@@ -483,7 +562,7 @@
         )
         if (spec.unit.cores > CAP) return
         specs[spec.ref] = spec
-        rules.accepted(spec)
+        rules.accepted(spec, now)
         submitted.add(spec.ref)
         val record = JobRecord(if (tamper == Tamper.DONE_EARLY && i == 3) JobStage.DONE else JobStage.QUEUED, spec, now)
         commit(StateChange(listOf(Keys.job(spec.ref) to Revision.ABSENT), listOf(Keys.job(spec.ref) to record.toValue())))
@@ -531,6 +610,8 @@
         every(trouble.crashEveryMs * 4) { if (troubled) controllers.forEach { it.crash() } }
         every(trouble.cutEveryMs) { if (troubled) up().randomOrNull(random)?.let { it.cutUntil = now + random.nextLong(1_000, 25_000) } }
         every(trouble.hangEveryMs) { if (troubled) up().randomOrNull(random)?.let { it.hungUntil = now + random.nextLong(1_000, 25_000) } }
+        every(trouble.deafEveryMs) { if (troubled) up().randomOrNull(random)?.let { it.deafUntil = now + random.nextLong(5_000, 60_000) } }
+        every(trouble.loneEveryMs) { if (troubled) controllers.random(random).let { it.loneUntil = now + random.nextLong(1_000, 25_000) } }
         every(trouble.takeEveryMs) { if (troubled) up().randomOrNull(random)?.take() }
         every(100) { up().forEach { it.checkLease() } }
         every(1_000) { rules.check(now) }
@@ -541,7 +622,12 @@
             after(3_000) { controllers.forEach { it.scheduler?.onList(list, instant()) } }
         }
         every(5_000) {
-            for (ref in submitted) rules.tells(ref, store[Keys.job(ref)]?.let { JobRecord.of(decoded(it.first)).stage })
+            val asked = controllers.random(random)
+            for (ref in submitted) {
+                val answered = now >= asked.loneUntil && tamper != Tamper.NO_ANSWERS
+                rules.asked(ref, answered, now, if (troubled) Long.MAX_VALUE else lengthMs)
+                if (answered) rules.tells(ref, store[Keys.job(ref)]?.let { JobRecord.of(decoded(it.first)).stage })
+            }
         }
         advance(lengthMs)
         troubled = false
