Gangs keep their place: limits held for them, long waits go first, overflow leaves them idle machines

Overflow now leaves two of the largest urgent jobs' machines alone, a held-up gang's share of its team's limit is kept within a round, and what has waited 120 s without a start goes first. Tests for deaf machines, late copies, release records and machines a job has failed on.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -96,6 +96,7 @@
             job.finalAt = startedAt
         }
         jobs[ref] = job
+        noteUrgent(spec)
     }
 
     /** Log records must come in the order of their keys: the last placement of a task is the one that counts. */
@@ -158,6 +159,7 @@
             val spec = record.spec ?: return
             if (record.isFinal || closed.any { it.ref == ref }) return
             jobs[ref] = Job(spec, revision, record.submittedAtMs)
+            noteUrgent(spec)
             ranked = null
             log.info("job {} accepted: class {}, {} tasks, team {}", ref, spec.jobClass, spec.tasks, spec.team)
             return
@@ -538,8 +540,10 @@
             if (job.isComplete) closeDone(b, job, now)
         }
         addFleetWrites(b, room, now)
+        quota.clearHolds()
         placeAll(b, room, now, mayGoOn)
-        fleet.plan(now, ranking(), now.ms + wallOffsetMs)
+        quota.clearHolds()
+        fleet.plan(now, ranking(now), now.ms + wallOffsetMs)
         for (job in jobs.values) {
             if (b.ops >= room) break
             val since = job.unloggedSince ?: continue
@@ -587,7 +591,7 @@
 
     /** Places jobs in rank order, going on after the job where the last round's budget ended. */
     private fun placeAll(b: Batch, room: Int, now: Instant, mayGoOn: () -> Boolean) {
-        val order = ranking()
+        val order = ranking(now)
         val usable = machines.values.filterTo(ArrayList()) { it.accepts && now - it.heardAt <= silenceSpan }
         val from = resumeAfter?.let { ref -> order.indexOfFirst { it.ref == ref } + 1 } ?: 0
         resumeAfter = null
@@ -625,7 +629,9 @@
     /**
      * Plain work that has waited for a good part of what its class allows may use accelerator machines that nobody
      * else wanted this round: they are paid for. It does not keep them from being returned, since a machine takes it
-     * only for a while after its last proper task.
+     * only for a while after its last proper task. Enough idle ones for the next jobs that cannot wait for a boot are
+     * left alone: such a job cannot stop work of its own priority, so that on the rough day of kestrel-crashdesk-grown
+     * gangs waited for the overflow to end.
      */
     private fun placeOverflow(b: Batch, room: Int, order: List<Job>, usable: List<Machine>, now: Instant) {
         val idle = usable.filter { m ->
@@ -634,6 +640,9 @@
                 lastProper != null && now - lastProper < OVERFLOW_KEEP
         }
         if (idle.isEmpty()) return
+        // Cheap ones come first, and so the dear ones, which every job may use, are what is left.
+        val (empty, begun) = idle.partition { it.attempts.isEmpty() }
+        val open = begun + empty.sortedBy { !it.spot }.dropLast(standingRoom)
         for (job in order) {
             if (b.ops >= room) return
             if (job.isGang || job.spec.need.accelerators > 0 || job.pending.isEmpty || !job.isOpen || now < job.notBefore) continue
@@ -641,11 +650,20 @@
             val waitedS = (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0
             if (waitedS < fleet.horizonS(job.spec.jobClass) * OVERFLOW_AFTER) continue
             val limit = minOf(job.pending.cardinality(), quota.room(job.spec), MAX_TASKS_PER_STEP)
-            val placements = Placer.place(job, idle.filter { Placer.machineAllowed(job.spec, it) && it.id.value !in job.failedOn }, limit)
+            val placements = Placer.place(job, open.filter { Placer.machineAllowed(job.spec, it) && it.id.value !in job.failedOn }, limit)
             if (placements.isNotEmpty()) logStep(b, job, placements, now)
         }
     }
 
+    /** Machines that two of the largest jobs seen so far which cannot wait for a boot would take. */
+    private var standingRoom = 0
+
+    private fun noteUrgent(spec: JobSpec) {
+        if (spec.need.accelerators > 0 && fleet.cannotWaitForBoot(spec)) {
+            standingRoom = maxOf(standingRoom, 2 * fleet.machinesFor(spec))
+        }
+    }
+
     private fun releaseKept(now: Instant) {
         for (m in machines.values) {
             val job = m.keptFor ?: continue
@@ -677,6 +695,7 @@
         var limit = minOf(pending, quota.room(job.spec), if (job.isGang) pending else MAX_TASKS_PER_STEP)
         if (job.isGang && limit < job.spec.tasks) limit = 0
         if (limit == 0) {
+            if (job.isGang) quota.hold(job.spec)
             wait(job, "its team's limit")
             return emptyList()
         }
@@ -800,12 +819,25 @@
         return true
     }
 
-    private fun ranking(): List<Job> {
-        ranked?.let { return it }
+    /** When [ranked] was worked out; waiting changes the order too. */
+    private var rankedAt = Instant.NEVER
+
+    /**
+     * Guaranteed jobs first, then by priority, then by age; but whatever has waited without a single start for
+     * [AGED] goes before all of them, or large jobs of low rank would never begin in a long burst.
+     */
+    private fun ranking(now: Instant): List<Job> {
+        ranked?.let { if (now - rankedAt < RANK_EVERY) return it }
         val inOrder = jobs.values.sortedWith(compareBy({ it.submittedAtMs }, { it.ref.value }))
         val guaranteed = quota.guaranteed(inOrder)
-        val order = inOrder.sortedWith(compareBy({ if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal }))
+        val aged = inOrder.filterTo(HashSet()) {
+            it.live.isEmpty() && it.doneCount == 0 && now.ms + wallOffsetMs - it.submittedAtMs > AGED.ms
+        }
+        val order = inOrder.sortedWith(
+            compareBy({ if (it in aged) 0 else 1 }, { if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal }),
+        )
         ranked = order
+        rankedAt = now
         return order
     }
 
@@ -857,6 +889,10 @@
         private const val MAX_WAITS = 10_000
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
+        private val RANK_EVERY = Span(2_000)
+
+        /** Half of the time within which the largest jobs are to begin. */
+        private val AGED = Span(120_000)
         private const val OVERFLOW_AFTER = 0.4
         private val OVERFLOW_KEEP = Span(45_000)
         private val KEEP_ROOM = Span(15_000)
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -245,6 +245,13 @@
         return within * HORIZON_SHARE
     }
 
+    /** Machines that the least part of [spec] which must start together takes. */
+    fun machinesFor(spec: JobSpec): Int {
+        val tasks = if (spec.shape == JobShape.GANG) spec.tasks else 1
+        val slots = Placer.usefulTypes(spec, types.values).maxOfOrNull { it.size.slots(spec.need) } ?: return 0
+        return if (slots == 0) 0 else ceil(tasks / slots.toDouble()).toInt()
+    }
+
     /** The shortest time within which tasks of the class are to start, of all its aims. */
     private fun startAimS(jobClass: String): Double? =
         settings.objectives.filter { it.kind == ObjectiveKind.WAIT && it.jobClass == jobClass }.minOfOrNull { it.withinS }
--- a/src/main/kotlin/dewwing/control/core/quota/Quota.kt
+++ b/src/main/kotlin/dewwing/control/core/quota/Quota.kt
@@ -29,10 +29,19 @@
         used[job.spec.team] = used(job.spec.team) - job.spec.need
     }
 
+    /** Kept within a round for a gang that its team's limit holds up, so that lower ranks don't take it bit by bit. */
+    private val held = HashMap<String, Resources>()
+
+    fun hold(spec: JobSpec) {
+        held[spec.team] = (held[spec.team] ?: Resources.NONE) + spec.unit
+    }
+
+    fun clearHolds() = held.clear()
+
     /** How many more tasks of this job the team's limit allows now. */
     fun room(spec: JobSpec): Int {
         val team = teams[spec.team] ?: return 0
-        val u = used(spec.team)
+        val u = used(spec.team) + (held[spec.team] ?: Resources.NONE)
         var n = Int.MAX_VALUE
         if (team.coresMax != null && spec.need.cores > 0) {
             n = minOf(n, ((team.coresMax - u.cores + Resources.EPSILON) / spec.need.cores).toInt())
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -215,4 +215,132 @@
         }
         assertEquals(30, placed.size)
     }
+
+    /** A report at a position of its own choice, as a late copy has it. */
+    private fun copy(id: String, session: Long, seq: Long, vararg tasks: ReportedTask): List<Command> {
+        val r = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, Position(session, seq), term, null, tasks.toList())
+        scheduler.onReport(r, Instant(now))
+        return scheduler.commands(r, Instant(now), mayStart = true)
+    }
+
+    private fun logsIn(effects: List<Effect>) =
+        effects.filterIsInstance<Effect.Write>().flatMap { it.change.puts }.map { it.first }.filter { it.startsWith("log/") }
+
+    /** Guards against placing on a machine for ever whose reports come while our answers do not reach it. */
+    @Test
+    fun `a machine that does not hear us gets nothing more until it does, and is returned if that lasts`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1")
+        round()
+        assertEquals(1, report("m-1").count { it is Command.Launch })
+        // The launch never shows: the answer that carried it was lost.
+        now += 2_000
+        report("m-1")
+        assertEquals(emptyList<String>(), logsIn(round()))
+        // It comes back after giving up on us and asking the others: its stream has gone on elsewhere.
+        now += 5_000
+        seq += 2
+        report("m-1")
+        assertEquals(emptyList<String>(), logsIn(round()))
+        // One more message, next in its stream and in time: it heard our answer.
+        now += 1_000
+        report("m-1")
+        assertEquals(listOf("log/job-1/000000002"), logsIn(round()))
+    }
+
+    @Test
+    fun `a machine whose lease runs out though it is answered does not hear us and is returned`() {
+        scheduler.onTypes(listOf(type))
+        report("m-1")
+        now += 3_000
+        report("m-1")
+        var returned = false
+        for (session in 2L..9L) {
+            now += 7_000
+            report("m-1", session = session)
+            submit(spec(session.toInt(), "c", Urgency.STANDARD, JobShape.ARRAY, half))
+            val effects = round() + round()
+            assertEquals(emptyList<String>(), logsIn(effects))
+            returned = returned || effects.any { it is Effect.Release && MachineId("m-1") in it.machines }
+        }
+        assertTrue(returned)
+    }
+
+    /** Guards against copies that renew a lease in our books: the worker dropped their answers long ago. */
+    @Test
+    fun `late copies renew no lease, take no answer away and bring no returned machine back`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1")
+        round()
+        val newest = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, Position(1, ++seq), term, null, emptyList())
+        scheduler.onReport(newest, Instant(now))
+        assertTrue(copy("m-1", 1, 1).isEmpty())
+        val launches = scheduler.commands(newest, Instant(now), mayStart = true)
+        assertEquals(listOf("job-1"), launches.map { it.task.job.value })
+        report("m-1", running(1))
+        // Only copies from now on: the lease lapses on time, and the task starts elsewhere.
+        var startedElsewhere = 0
+        repeat(16) {
+            now += 1_000
+            copy("m-1", 1, 1L + it % 3, running(1))
+            val held = if (startedElsewhere > 0) arrayOf(running(1, Step(2))) else emptyArray()
+            startedElsewhere += report("m-2", *held).count { it is Command.Launch }
+            round()
+        }
+        assertEquals(1, startedElsewhere)
+        // Copies of the lapsed session bring nothing back.
+        copy("m-1", 1, 900, running(1))
+        assertEquals(1, scheduler.counts(JobRef("job-1"))?.running)
+        scheduler.onReleased(listOf(MachineId("m-1")), Instant(now))
+        now += 300_000
+        scheduler.onList(emptyList(), Instant(now))
+        copy("m-1", 2, 1)
+        assertEquals(null, scheduler.machinesByState()["idle"])
+    }
+
+    @Test
+    fun `a late copy that reaches a new leader first gives no start and settles nothing`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        val r = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, Position(3, 7), Term(4), null, listOf(running(9)))
+        scheduler.onReport(r, Instant(now))
+        assertTrue(scheduler.commands(r, Instant(now), mayStart = true).none { it is Command.Launch })
+        assertEquals(emptyList<String>(), logsIn(round()))
+        assertEquals(null, scheduler.counts(JobRef("job-9")))
+    }
+
+    /** Guards against the change rate deciding how fast a fleet shrinks (steady day of kestrel-crashdesk-grown). */
+    @Test
+    fun `many idle machines are returned with one record and one call`() {
+        for (i in 1..60) report("m-%03d".format(i))
+        now += 14_000
+        for (i in 1..60) report("m-%03d".format(i))
+        now += 2_000
+        for (i in 1..60) report("m-%03d".format(i))
+        now += 200
+        scheduler.round(Instant(now)) { true }
+        val write = scheduler.round(Instant(now + 200)) { true } + scheduler.round(Instant(now + 1_300)) { true }
+        val puts = write.filterIsInstance<Effect.Write>().flatMap { it.change.puts }.filter { it.first.startsWith("release/") }
+        assertEquals(1, puts.size)
+        assertEquals(60, (puts.single().second["machines"] as List<*>).size)
+        scheduler.onWritten(Revision(5_000), Instant(now + 1_400))
+        val released = scheduler.round(Instant(now + 1_500)) { true }.filterIsInstance<Effect.Release>()
+        assertEquals(listOf(60), released.map { it.machines.size })
+    }
+
+    /** Guards against a job that waits for ever for the one machine on which it has failed. */
+    @Test
+    fun `a machine on which a job has failed does not count as room for it`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1")
+        round()
+        report("m-1")
+        report("m-1", ReportedTask(TaskRef(JobRef("job-1"), 0), Step(1), TaskStage.ENDED, EndCause.ERROR, false))
+        var rented = false
+        repeat(8) {
+            now += 1_000
+            report("m-1")
+            rented = rented || round().any { it is Effect.Rent }
+        }
+        assertTrue(rented)
+    }
 }
