--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -14,6 +14,7 @@
 import dewwing.control.core.job.Job
 import dewwing.control.core.placement.Placement
 import dewwing.control.core.placement.Placer
+import dewwing.control.core.placement.Preemption
 import dewwing.control.core.quota.Quota
 import dewwing.protocol.Command
 import dewwing.protocol.EndCause
@@ -72,6 +73,7 @@
     private var batch: Batch? = null
     private val effects = ArrayList<Effect>()
     private val fleet = Fleet(settings, term, machines, types, quota)
+    private val preemption = Preemption(quota, fleet::fetchS)
 
     /** Older leaders' answers may keep a worker's lease alive until then. */
     private val olderLeadersUntil = startedAt + tunables.outageBound
@@ -94,6 +96,7 @@
             job.finalAt = startedAt
         }
         jobs[ref] = job
+        noteUrgent(spec)
     }
 
     /** Log records must come in the order of their keys: the last placement of a task is the one that counts. */
@@ -156,6 +159,7 @@
             val spec = record.spec ?: return
             if (record.isFinal || closed.any { it.ref == ref }) return
             jobs[ref] = Job(spec, revision, record.submittedAtMs)
+            noteUrgent(spec)
             ranked = null
             log.info("job {} accepted: class {}, {} tasks, team {}", ref, spec.jobClass, spec.tasks, spec.team)
             return
@@ -471,12 +475,13 @@
     }
 
     /**
-     * What was to be launched by the next report of a machine that has fallen silent goes elsewhere: it was never
-     * sent, so it needs no proof, and waiting for the lease to lapse would cost the job several seconds.
+     * What was to be launched by the next report of a machine goes elsewhere once that machine has fallen silent or
+     * takes nothing new, for instance since it was found faulty: it was never sent, so it needs no proof. Left there it
+     * would wait for the lease to lapse or, on a machine that goes on reporting, for ever.
      */
     private fun takeBackUnsent(now: Instant) {
         for (m in machines.values) {
-            if (!m.up || now - m.heardAt <= silenceSpan || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
+            if (m.accepts && now - m.heardAt <= silenceSpan || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
             for (a in m.attempts.values.toList()) if (a.phase == AttemptPhase.READY) lost(a, now)
         }
     }
@@ -535,8 +540,10 @@
             if (job.isComplete) closeDone(b, job, now)
         }
         addFleetWrites(b, room, now)
+        quota.clearHolds()
         placeAll(b, room, now, mayGoOn)
-        fleet.plan(now, ranking(), now.ms + wallOffsetMs)
+        quota.clearHolds()
+        fleet.plan(now, ranking(now), now.ms + wallOffsetMs)
         for (job in jobs.values) {
             if (b.ops >= room) break
             val since = job.unloggedSince ?: continue
@@ -584,7 +591,7 @@
 
     /** Places jobs in rank order, going on after the job where the last round's budget ended. */
     private fun placeAll(b: Batch, room: Int, now: Instant, mayGoOn: () -> Boolean) {
-        val order = ranking()
+        val order = ranking(now)
         val usable = machines.values.filterTo(ArrayList()) { it.accepts && now - it.heardAt <= silenceSpan }
         val from = resumeAfter?.let { ref -> order.indexOfFirst { it.ref == ref } + 1 } ?: 0
         resumeAfter = null
@@ -598,11 +605,18 @@
             }
             if (job.pending.isEmpty || !job.isOpen || job.isComplete || now < job.notBefore) continue
             if (Keys.job(job.ref) in b.conditions) continue
-            val placements = choose(job, usable.filter { it.keptFor == null || it.keptFor === job })
+            val open = usable.filter { it.keptFor == null || it.keptFor === job }
+            val urgent = job.madeRoomAt == null && job.live.isEmpty() && fleet.cannotWaitForBoot(job.spec)
+            var placements = emptyList<Placement>()
+            if (urgent && fleet.fetchMissesStart(job.spec)) {
+                // Fetching its image alone would make it late: machines that have it come first, made free if need be.
+                val ready = open.filter { job.spec.image in it.images }
+                placements = choose(job, ready)
+                if (placements.isEmpty() && makeRoom(job, ready, now)) continue
+            }
+            if (placements.isEmpty()) placements = choose(job, open)
             if (placements.isEmpty()) {
-                if (job.madeRoomAt == null && job.live.isEmpty() && fleet.cannotWaitForBoot(job.spec)) {
-                    makeRoom(job, usable, now)
-                }
+                if (urgent) makeRoom(job, usable, now)
                 // Lower ranks must not take the machine that this gang is next to get.
                 if (job.isGang && job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) reserve(job, usable)
                 continue
@@ -615,7 +629,9 @@
     /**
      * Plain work that has waited for a good part of what its class allows may use accelerator machines that nobody
      * else wanted this round: they are paid for. It does not keep them from being returned, since a machine takes it
-     * only for a while after its last proper task.
+     * only for a while after its last proper task. Enough idle ones for the next jobs that cannot wait for a boot are
+     * left alone: such a job cannot stop work of its own priority, so that on the rough day of kestrel-crashdesk-grown
+     * gangs waited for the overflow to end.
      */
     private fun placeOverflow(b: Batch, room: Int, order: List<Job>, usable: List<Machine>, now: Instant) {
         val idle = usable.filter { m ->
@@ -624,6 +640,9 @@
                 lastProper != null && now - lastProper < OVERFLOW_KEEP
         }
         if (idle.isEmpty()) return
+        // Cheap ones come first, and so the dear ones, which every job may use, are what is left.
+        val (empty, begun) = idle.partition { it.attempts.isEmpty() }
+        val open = begun + empty.sortedBy { !it.spot }.dropLast(standingRoom)
         for (job in order) {
             if (b.ops >= room) return
             if (job.isGang || job.spec.need.accelerators > 0 || job.pending.isEmpty || !job.isOpen || now < job.notBefore) continue
@@ -631,11 +650,20 @@
             val waitedS = (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0
             if (waitedS < fleet.horizonS(job.spec.jobClass) * OVERFLOW_AFTER) continue
             val limit = minOf(job.pending.cardinality(), quota.room(job.spec), MAX_TASKS_PER_STEP)
-            val placements = Placer.place(job, idle.filter { Placer.machineAllowed(job.spec, it) && it.id.value !in job.failedOn }, limit)
+            val placements = Placer.place(job, open.filter { Placer.machineAllowed(job.spec, it) && it.id.value !in job.failedOn }, limit)
             if (placements.isNotEmpty()) logStep(b, job, placements, now)
         }
     }
 
+    /** Machines that two of the largest jobs seen so far which cannot wait for a boot would take. */
+    private var standingRoom = 0
+
+    private fun noteUrgent(spec: JobSpec) {
+        if (spec.need.accelerators > 0 && fleet.cannotWaitForBoot(spec)) {
+            standingRoom = maxOf(standingRoom, 2 * fleet.machinesFor(spec))
+        }
+    }
+
     private fun releaseKept(now: Instant) {
         for (m in machines.values) {
             val job = m.keptFor ?: continue
@@ -646,28 +674,10 @@
         }
     }
 
-    private class Room(val machine: Machine, val victims: List<Attempt>, val slots: Int, val costS: Double)
-
-    /**
-     * Stops tasks of lower priority so that [job], which cannot wait for a machine to boot, starts now: where the
-     * least work is lost and the image is at hand.
-     */
-    private fun makeRoom(job: Job, usable: List<Machine>, now: Instant) {
-        val spec = job.spec
-        val wanted = if (job.isGang) spec.tasks else minOf(spec.tasks, quota.room(spec))
-        if (wanted <= 0 || quota.room(spec) < wanted) return
-        val rooms = usable.filter { it.keptFor == null && Placer.machineAllowed(spec, it) }.mapNotNull { roomOn(it, spec, now) }
-        val zones = if (spec.oneZone) rooms.groupBy { it.machine.zone }.values else listOf(rooms)
-        val best = zones.mapNotNull { zone ->
-            val chosen = ArrayList<Room>()
-            var slots = 0
-            for (room in zone.sortedBy { it.costS / it.slots }) {
-                if (slots >= wanted) break
-                chosen.add(room)
-                slots += room.slots
-            }
-            chosen.takeIf { slots >= wanted }
-        }.minByOrNull { rooms -> rooms.sumOf { it.costS } } ?: return
+    /** Stops what [Preemption] chose for [job] and keeps the room for it; false when no room can be made. */
+    private fun makeRoom(job: Job, usable: List<Machine>, now: Instant): Boolean {
+        val best = preemption.plan(job.spec, usable, now)
+        if (best.isEmpty()) return false
         job.madeRoomAt = now
         for (room in best) {
             room.machine.keptFor = job
@@ -676,32 +686,7 @@
             }
         }
         log.info("job {} makes room: {} tasks stopped on {}", job.ref, best.sumOf { it.victims.size }, best.map { it.machine.id })
-    }
-
-    /** The cheapest tasks of lower priority to stop on [m] so that at least one task of [spec] fits. */
-    private fun roomOn(m: Machine, spec: JobSpec, now: Instant): Room? {
-        val type = m.type ?: return null
-        val victims = ArrayList<Attempt>()
-        var free = m.free
-        var cost = if (spec.image in m.images) 0.0 else fleet.fetchS(spec, type)
-        val candidates = m.attempts.values
-            .filter { it.job.spec.urgency > spec.urgency && !it.job.isGang && it.killGraceS == null && it.phase != AttemptPhase.LOGGING }
-            .sortedBy { lostS(it, now) }
-        for (a in candidates) {
-            if (free.holds(spec.need)) break
-            victims.add(a)
-            free += a.job.spec.need
-            cost += lostS(a, now)
-        }
-        val slots = free.slots(spec.need)
-        return if (slots == 0) null else Room(m, victims, slots, cost)
-    }
-
-    /** Work that stopping [a] would waste. */
-    private fun lostS(a: Attempt, now: Instant): Double {
-        val spec = a.job.spec
-        val ran = a.runningSince?.let { (now - it).seconds } ?: 0.0
-        return if (spec.checkpointS > 0) minOf(ran, spec.saveS + 1.0) else ran
+        return true
     }
 
     private fun choose(job: Job, usable: List<Machine>): List<Placement> {
@@ -710,6 +695,7 @@
         var limit = minOf(pending, quota.room(job.spec), if (job.isGang) pending else MAX_TASKS_PER_STEP)
         if (job.isGang && limit < job.spec.tasks) limit = 0
         if (limit == 0) {
+            if (job.isGang) quota.hold(job.spec)
             wait(job, "its team's limit")
             return emptyList()
         }
@@ -833,12 +819,25 @@
         return true
     }
 
-    private fun ranking(): List<Job> {
-        ranked?.let { return it }
+    /** When [ranked] was worked out; waiting changes the order too. */
+    private var rankedAt = Instant.NEVER
+
+    /**
+     * Guaranteed jobs first, then by priority, then by age; but whatever has waited without a single start for
+     * [AGED] goes before all of them, or large jobs of low rank would never begin in a long burst.
+     */
+    private fun ranking(now: Instant): List<Job> {
+        ranked?.let { if (now - rankedAt < RANK_EVERY) return it }
         val inOrder = jobs.values.sortedWith(compareBy({ it.submittedAtMs }, { it.ref.value }))
         val guaranteed = quota.guaranteed(inOrder)
-        val order = inOrder.sortedWith(compareBy({ if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal }))
+        val aged = inOrder.filterTo(HashSet()) {
+            it.live.isEmpty() && it.doneCount == 0 && now.ms + wallOffsetMs - it.submittedAtMs > AGED.ms
+        }
+        val order = inOrder.sortedWith(
+            compareBy({ if (it in aged) 0 else 1 }, { if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal }),
+        )
         ranked = order
+        rankedAt = now
         return order
     }
 
@@ -890,6 +889,10 @@
         private const val MAX_WAITS = 10_000
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
+        private val RANK_EVERY = Span(2_000)
+
+        /** Half of the time within which the largest jobs are to begin. */
+        private val AGED = Span(120_000)
         private const val OVERFLOW_AFTER = 0.4
         private val OVERFLOW_KEEP = Span(45_000)
         private val KEEP_ROOM = Span(15_000)
