--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -539,7 +539,8 @@
             if (b.ops >= room) break
             if (job.isComplete) closeDone(b, job, now)
         }
-        addFleetWrites(b, room, now)
+        // A share for the fleet, whose records name many machines each; the rest for what people wait for.
+        addFleetWrites(b, minOf(room, b.ops + maxOf(1, room / FLEET_SHARE)), now)
         quota.clearHolds()
         placeAll(b, room, now, mayGoOn)
         quota.clearHolds()
@@ -889,6 +890,7 @@
         private const val MAX_WAITS = 10_000
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
+        private const val FLEET_SHARE = 4
         private val RANK_EVERY = Span(2_000)
 
         /** Half of the time within which the largest jobs are to begin. */
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -290,7 +290,7 @@
         while (missing > 0 && tries-- > 0) {
             val (type, zone, spot) = bestMarket(spec, missing, now) ?: return
             val slots = type.size.slots(spec.need)
-            val number = minOf(ceil(missing / slots.toDouble()).toInt(), MAX_RENT)
+            val number = minOf(ceil(missing / slots.toDouble()).toInt(), MAX_RENT, openTo(Market(type.name, zone, spot)))
             order(type, zone, spot, number, now)
             repeat(number) {
                 val bin = Bin(type, zone, spot, type.size, null)
@@ -317,7 +317,7 @@
                 if (spec.zone != null && spec.zone != zone) continue
                 for (spot in if (spec.spot) SPOT_FIRST else ORDINARY) {
                     val market = Market(type.name, zone, spot)
-                    if ((refusedUntil[market] ?: Instant.NEVER) > now) continue
+                    if ((refusedUntil[market] ?: Instant.NEVER) > now || openTo(market) <= 0) continue
                     val cost = number * if (spot) type.spotPrice else type.price
                     if (cost < bestCost) {
                         bestCost = cost
@@ -329,6 +329,24 @@
         return best
     }
 
+    /**
+     * How many machines may be ordered of [market] on top of what is on order. Two full orders at a time, and one
+     * after a refusal: on the rough day of kestrel-crashdesk-grown six orders a second for machines that the cloud did
+     * not have took most of the change rate, and with it the starts.
+     */
+    private fun openTo(market: Market): Int {
+        val most = if (market in refusals) MAX_RENT else 2 * MAX_RENT
+        var ordered = 0
+        for (r in rentals.values) {
+            val o = r.record.order
+            if (r.stage <= RentStage.ASKED && o.type == market.type && o.zone == market.zone && o.spot == market.spot) {
+                if (market in refusals && r.stage > RentStage.TO_LOG) return 0
+                ordered += o.count
+            }
+        }
+        return most - ordered
+    }
+
     private fun order(type: MachineType, zone: String, spot: Boolean, count: Int, now: Instant) {
         // Wants of one round for the same market become one order: each costs two records and a call.
         val same = rentals.values.firstOrNull { r ->
