Images first where a fetch is a good part of the run; aged classes keep their order; own old hold dropped

A controller that is back within a moment waited for the hold of its own earlier life: it gives it back.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -335,8 +335,10 @@
                     delay(Random.nextLong(ELECTION_JITTER_MS))
                     stand(seen)?.let { lead(it) }
                 } else {
-                    // Our own earlier life's hold; it ends by itself.
+                    // Left by our own earlier life, or by an election whose change came late: nobody leads under it,
+                    // and nobody can be elected while it lasts.
                     leaderName = null
+                    (seen.holder.value?.get("hold") as? Long)?.let { state.dropHold(HoldId(it)) }
                 }
             } catch (e: IOException) {
                 log.debug("state service: {}", e.message)
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -824,16 +824,21 @@
     private var rankedAt = Instant.NEVER
 
     /**
-     * Guaranteed jobs first, then by priority, then by age; but whatever has waited without a single start for
-     * [AGED] goes before all of them, or large jobs of low rank would never begin in a long burst.
+     * Guaranteed jobs first, then by priority, then by age. A class of which a job has waited for [AGED] without a
+     * single start goes before all others with that job and what is older of it, or large jobs of low rank would never
+     * begin in a long burst; the older ones go along, since passing them would only make all of them late.
      */
     private fun ranking(now: Instant): List<Job> {
         ranked?.let { if (now - rankedAt < RANK_EVERY) return it }
         val inOrder = jobs.values.sortedWith(compareBy({ it.submittedAtMs }, { it.ref.value }))
         val guaranteed = quota.guaranteed(inOrder)
-        val aged = inOrder.filterTo(HashSet()) {
-            it.live.isEmpty() && it.doneCount == 0 && now.ms + wallOffsetMs - it.submittedAtMs > AGED.ms
+        val overdue = HashMap<String, Long>()
+        for (job in inOrder) {
+            if (job.live.isEmpty() && job.doneCount == 0 && now.ms + wallOffsetMs - job.submittedAtMs > AGED.ms) {
+                overdue[job.spec.jobClass] = job.submittedAtMs
+            }
         }
+        val aged = inOrder.filterTo(HashSet()) { it.submittedAtMs <= (overdue[it.spec.jobClass] ?: Long.MIN_VALUE) }
         val order = inOrder.sortedWith(
             compareBy({ if (it in aged) 0 else 1 }, { if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal }),
         )
--- a/src/main/kotlin/dewwing/control/core/placement/Placement.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Placement.kt
@@ -74,22 +74,31 @@
         return if (job.isGang && missing > 0) emptyList() else out
     }
 
-    private class Candidate(val machine: Machine, val fullness: Long, val hasImage: Boolean)
+    private class Candidate(val machine: Machine, val ready: Boolean, val fullness: Long, val hasImage: Boolean)
 
-    /** The machines that can hold a task, the one it leaves fullest first. */
+    /**
+     * The machines that can hold a task, the one it leaves fullest first. Where the fetch of the image is a good part
+     * of the run, machines that have it come before that: the place is paid for while it only fetches.
+     */
     private fun ordered(spec: JobSpec, machines: List<Machine>): List<Machine> {
         val fitting = ArrayList<Candidate>()
         for (m in machines) {
+            val type = m.type ?: continue
             if (!m.free.holds(spec.need)) continue
-            val full = Math.round(fullness(m.type?.size ?: Resources.NONE, m.used, spec.need) * 100)
-            fitting.add(Candidate(m, full, spec.image in m.images))
+            val hasImage = spec.image in m.images
+            val ready = hasImage || spec.imageGb < type.fetchGbPerS * spec.estimateS * FETCH_SHARE
+            fitting.add(Candidate(m, ready, Math.round(fullness(type.size, m.used, spec.need) * 100), hasImage))
         }
         fitting.sortWith(preference)
         return fitting.map { it.machine }
     }
 
+    /** Share of a run from which on its fetch counts. */
+    private const val FETCH_SHARE = 0.1
+
     private val preference: Comparator<Candidate> =
-        compareByDescending<Candidate> { it.fullness }
+        compareByDescending<Candidate> { it.ready }
+            .thenByDescending { it.fullness }
             .thenByDescending { it.hasImage }
             .thenByDescending { it.machine.spot }
             .thenByDescending { it.machine.attempts.size }
