A task that has made way is not the first to do so again; watch over lost workers in the core; docs

Not ruled out: slow machines. Tests for the watch, for answers at once without the state service, and for unreadable records.

--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -13,6 +13,7 @@
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.leadership.Authority
 import dewwing.control.core.leadership.Leadership
+import dewwing.control.core.leadership.WorkerWatch
 import dewwing.control.state.CommitResult
 import dewwing.control.state.FollowResult
 import dewwing.control.state.StateClient
@@ -131,31 +132,19 @@
         }
     }
 
-    private var quietTicks = 0
+    private val watch = WorkerWatch(core.workers.report, core.workers.lease)
 
     /** The term ended since the workers could not reach this controller. */
     var lostWorkers = false
         private set
 
-    fun heardWorker() {
-        quietTicks = 0
-    }
+    fun heardWorker() = watch.heardWorker()
 
-    /**
-     * A leader that no worker reaches any more, while siblings turn workers away, hands over: the state service would
-     * go on renewing its hold for ever and every lease would lapse. Ticks are counted, not time, so that a stalled
-     * process first reads what has come in. Without words of siblings it waits longer.
-     */
     private suspend fun watchWorkers() {
-        val near = (core.workers.report.ms * LOST_REPORTS).toLong() / TICK_MS + LOST_SLACK_TICKS
-        val far = core.workers.lease.ms * 2 / 3 / TICK_MS
         while (true) {
-            delay(TICK_MS)
-            quietTicks++
+            delay(WorkerWatch.TICK.ms)
             val s = scheduler ?: continue
-            if (quietTicks < near || s.reportingMachines() < LOST_LEAST) continue
-            val lost = if (siblingsHeard()) workersElsewhere() else quietTicks >= far
-            if (!lost) continue
+            if (!watch.tick(s.reportingMachines(), siblingsHeard(), workersElsewhere())) continue
             lostWorkers = true
             end("no worker reaches this controller")
             return
@@ -331,12 +320,6 @@
     }
 
     companion object {
-        private const val TICK_MS = 250L
-        private const val LOST_REPORTS = 1.25
-        private const val LOST_SLACK_TICKS = 3L
-
-        /** With fewer machines than this, silence may well be theirs. */
-        private const val LOST_LEAST = 3
         private const val REPORT_ANSWER_MS = 400L
         private const val RENEW_TIMEOUT_MS = 700L
         private const val RENEW_RETRY_MS = 150L
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -683,6 +683,7 @@
         for (room in best) {
             room.machine.keptFor = job
             for (a in room.victims) {
+                a.job.madeWay.addTo(a.task, 1)
                 if (a.neverSent) drop(a, now) else kill(a, if (a.job.spec.checkpointS > 0) a.job.spec.saveS else 0.0)
             }
         }
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -12,6 +12,7 @@
 import dewwing.protocol.Step
 import dewwing.protocol.TaskRef
 import dewwing.protocol.TaskStage
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
 import java.util.BitSet
 
@@ -94,6 +95,9 @@
     var finalAt: Instant? = null
     var waitReason: String? = null
 
+    /** How often each task was stopped to make room for others. */
+    val madeWay = Int2IntOpenHashMap()
+
     /** When tasks of lower priority were stopped for this job, until it is placed. */
     var madeRoomAt: Instant? = null
 
--- a/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
@@ -43,21 +43,31 @@
         var cost = if (spec.image in m.images) 0.0 else fetchS(spec, type)
         val candidates = m.attempts.values
             .filter { it.job.spec.urgency > spec.urgency && !it.job.isGang && it.killGraceS == null && it.phase != AttemptPhase.LOGGING }
-            .sortedBy { lostS(it, now) }
+            .sortedBy { harmS(it, now) }
         for (a in candidates) {
             if (free.holds(spec.need)) break
             victims.add(a)
             free += a.job.spec.need
-            cost += lostS(a, now)
+            cost += harmS(a, now)
         }
         val slots = free.slots(spec.need)
         return if (slots == 0) null else Room(m, victims, slots, cost)
     }
 
+    /**
+     * What stopping [a] would do to its job. A task that has made way before counts as dearer: having just begun again
+     * it loses the least, and would be stopped time after time while others of its kind run through.
+     */
+    private fun harmS(a: Attempt, now: Instant): Double = lostS(a, now) + a.job.madeWay.get(a.task) * MADE_WAY_S
+
     /** Work that stopping [a] would waste. */
     private fun lostS(a: Attempt, now: Instant): Double {
         val spec = a.job.spec
         val ran = a.runningSince?.let { (now - it).seconds } ?: 0.0
         return if (spec.checkpointS > 0) minOf(ran, spec.saveS + 1.0) else ran
     }
+
+    companion object {
+        private const val MADE_WAY_S = 120.0
+    }
 }
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -38,7 +38,10 @@
         /** Carries the next change out but breaks its answer. */
         var loseNext = false
 
+        var asked = 0
+
         fun answer(r: HttpRequest): HttpAnswer {
+            asked++
             if (failing) return HttpAnswer.error(503, "outage")
             if (r.path == Wire.COMMIT) {
                 val body = Pack.decodeMap(r.body)
@@ -69,7 +72,9 @@
             return relayAnswer
         }
         override suspend fun counts(ref: JobRef): JobCounts? = null
-        override fun now() = Instant(System.nanoTime() / 1_000_000)
+        /** Time that the test lets pass at once. */
+        var skippedMs = 0L
+        override fun now() = Instant(System.nanoTime() / 1_000_000 + skippedMs)
         override fun wallMs() = 1_000L
     }
 
@@ -91,11 +96,11 @@
             val limits = ServerLimits(50, Wire.MAX_BODY, 5_000, 5_000, 5_000, 5_000)
             val server = launch { HttpServer(selector, endpoint, limits, { bound.complete(Unit) }, standIn::answer).run() }
             bound.await()
-            val clock = { Instant(System.nanoTime() / 1_000_000) }
+            val host = Host(listOf(type))
+            val clock = { host.now() }
             val plenty = TokenBucket(10_000.0, 10_000.0)
             val http = HttpClient(selector, endpoint, 2)
             val state = StateClient(http, http, plenty, clock) { _, _ -> }
-            val host = Host(listOf(type))
             block(UserApi(state, Quota(listOf(Team("t", 0.0, 16.0, 0.0, null))), host, TokenBucket(0.001, 6.0), 4_000), standIn, host)
             server.cancel()
             coroutineContext.cancelChildren()
@@ -149,6 +154,34 @@
         assertEquals("queued", stage(api.get("/api/jobs/job-1")))
     }
 
+    /** Guards against users who wait for a timeout each while a controller has lost the state service and its siblings. */
+    @Test
+    fun `once the state service has not answered for a while, users are told at once, and known ends are still told`() =
+        withApi { api, standIn, host ->
+            assertEquals(201, api.post(Wire.JOBS, job()).status)
+            assertEquals(200, api.post("/api/jobs/job-1/cancel", emptyMap<String, Any?>()).status)
+            standIn.failing = true
+            assertEquals(503, api.get("/api/jobs/job-2").status)
+            val asked = standIn.asked
+            host.skippedMs = 2_000
+            for (a in listOf(api.get("/api/jobs/job-2"), api.post(Wire.JOBS, job("job-3")))) {
+                assertEquals(503, a.status)
+                assertEquals(1, a.retryAfterS)
+            }
+            assertEquals(asked, standIn.asked)
+            assertEquals("aborted", stage(api.get("/api/jobs/job-1")))
+        }
+
+    /** Guards against one bad record that ends the process or makes a job look as if nobody had submitted it. */
+    @Test
+    fun `an unreadable record is no 404 and blocks no other job`() = withApi { api, standIn, _ ->
+        assertEquals(201, api.post(Wire.JOBS, job()).status)
+        standIn.values["job/job-2"] = mapOf("stage" to 7) to 99L
+        assertEquals(503, api.get("/api/jobs/job-2").status)
+        assertEquals(503, api.post(Wire.JOBS, job("job-2")).status)
+        assertEquals("queued", stage(api.get("/api/jobs/job-1")))
+    }
+
     @Test
     fun `a controller that alone is refused turns to a sibling first, and a relayed request never travels on`() = withApi { api, standIn, host ->
         standIn.failing = true
--- a/src/test/kotlin/dewwing/control/core/CoreTest.kt
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -7,6 +7,7 @@
 import dewwing.control.core.leadership.Authority
 import dewwing.control.core.leadership.Leadership
 import dewwing.control.core.leadership.SiblingWord
+import dewwing.control.core.leadership.WorkerWatch
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.quota.Quota
 import dewwing.protocol.Instant
@@ -76,6 +77,24 @@
         assertEquals(Authority.NONE, m.authority(at(200), false))
     }
 
+    /** Guards against a leader that keeps its hold while no worker reaches it (a cut from the workers alone). */
+    @Test
+    fun `a leader whose workers turn up elsewhere hands over, one that only they have left alone does not`() {
+        fun ticksUntil(machines: Int, siblings: Boolean, elsewhere: Boolean, reportEvery: Int = 0): Int? {
+            val watch = WorkerWatch(Span(2_000), Span(10_000))
+            for (n in 1..100) {
+                if (reportEvery > 0 && n % reportEvery == 0) watch.heardWorker()
+                if (watch.tick(machines, siblings, elsewhere)) return n
+            }
+            return null
+        }
+        assertEquals(13, ticksUntil(machines = 20, siblings = true, elsewhere = true))
+        assertEquals(null, ticksUntil(machines = 20, siblings = true, elsewhere = false))
+        assertEquals(26, ticksUntil(machines = 20, siblings = false, elsewhere = false))
+        assertEquals(null, ticksUntil(machines = 2, siblings = true, elsewhere = true))
+        assertEquals(null, ticksUntil(machines = 20, siblings = true, elsewhere = true, reportEvery = 8))
+    }
+
     @Test
     fun `a token bucket never gives more than its rate and burst`() {
         val random = Random(7)
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -343,4 +343,38 @@
         }
         assertTrue(rented)
     }
+
+    /** Guards against a task that is stopped time after time, since one that has just begun again loses the least. */
+    @Test
+    fun `a task that has made way once is not the first to be stopped again`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1")
+        round()
+        report("m-1")
+        report("m-1", running(1))
+        now += 5_000
+        submit(spec(2, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1", running(1))
+        round()
+        report("m-1", running(1))
+        report("m-1", running(1), running(2))
+        fun victims(id: Int): List<String> {
+            submit(spec(id, "urgent", Urgency.HIGH, JobShape.GANG, half))
+            return round().filterIsInstance<Effect.Kill>().flatMap { it.kills }.map { it.task.job.value }
+        }
+        // The youngest makes way first; run again, it is spared, though it is the youngest once more.
+        assertEquals(listOf("job-2"), victims(3))
+        report("m-1", running(1), ReportedTask(TaskRef(JobRef("job-2"), 0), Step(1), TaskStage.ENDED, EndCause.STOPPED, false))
+        round()
+        report("m-1", running(1))
+        report("m-1", running(1), running(3))
+        report("m-1", running(1), ReportedTask(TaskRef(JobRef("job-3"), 0), Step(1), TaskStage.ENDED, EndCause.DONE, false))
+        round()
+        report("m-1", running(1))
+        round()
+        report("m-1", running(1))
+        report("m-1", running(1), running(2, Step(2)))
+        assertEquals(2, listOf(1, 2).sumOf { scheduler.counts(JobRef("job-$it"))?.running ?: 0 })
+        assertEquals(listOf("job-1"), victims(4))
+    }
 }
