--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -825,7 +825,8 @@
     private var rankedAt = Instant.NEVER
 
     /**
-     * Guaranteed jobs first, then by priority, then by age. A class of which a job has waited for [AGED] without a
+     * Guaranteed jobs first, then by priority, then by when they are to start at the latest: age plus the class's aim.
+     * By age alone, gangs that are to start within seconds wait for the change rate behind every older array. A class of which a job has waited for [AGED] without a
      * single start goes before all others with that job and what is older of it, or large jobs of low rank would never
      * begin in a long burst; the older ones go along, since passing them would only make all of them late.
      */
@@ -841,7 +842,10 @@
         }
         val aged = inOrder.filterTo(HashSet()) { it.submittedAtMs <= (overdue[it.spec.jobClass] ?: Long.MIN_VALUE) }
         val order = inOrder.sortedWith(
-            compareBy({ if (it in aged) 0 else 1 }, { if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal }),
+            compareBy(
+                { if (it in aged) 0 else 1 }, { if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal },
+                { it.submittedAtMs + (fleet.startDueS(it.spec.jobClass) * 1000).toLong() },
+            ),
         )
         ranked = order
         rankedAt = now
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -256,6 +256,9 @@
     private fun startAimS(jobClass: String): Double? =
         settings.objectives.filter { it.kind == ObjectiveKind.WAIT && it.jobClass == jobClass }.minOfOrNull { it.withinS }
 
+    /** Time from submission within which a job of the class is to start, as far as its aims tell. */
+    fun startDueS(jobClass: String): Double = startAimS(jobClass) ?: horizonS(jobClass)
+
     /** A start that has to fetch the image would most likely come too late, since fetches may be a third slower. */
     fun fetchMissesStart(spec: JobSpec): Boolean {
         val within = startAimS(spec.jobClass) ?: return false
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -377,4 +377,14 @@
         assertEquals(2, listOf(1, 2).sumOf { scheduler.counts(JobRef("job-$it"))?.running ?: 0 })
         assertEquals(listOf("job-1"), victims(4))
     }
+
+    /** Guards against urgent gangs that wait for the change rate behind older arrays of their own priority. */
+    @Test
+    fun `of equal priority, what is to start sooner is placed first`() {
+        submit(spec(1, "c", Urgency.HIGH, JobShape.ARRAY, half).copy(tasks = 5))
+        now += 4_000
+        submit(spec(2, "urgent", Urgency.HIGH, JobShape.GANG, half))
+        report("m-1")
+        assertEquals("log/job-2/000000001", logsIn(round()).first())
+    }
 }
