Machines are rented ahead of urgent jobs while nothing that runs would make way for them

Part (0.4) of what arrives of such jobs within a boot is to find room: idle machines, or ones whose work may be stopped.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -160,6 +160,7 @@
             if (record.isFinal || closed.any { it.ref == ref }) return
             jobs[ref] = Job(spec, revision, record.submittedAtMs)
             noteUrgent(spec)
+            noteArrival(spec, now)
             ranked = null
             log.info("job {} accepted: class {}, {} tasks, team {}", ref, spec.jobClass, spec.tasks, spec.team)
             return
@@ -665,6 +666,10 @@
         }
     }
 
+    private fun noteArrival(spec: JobSpec, now: Instant) {
+        if (fleet.cannotWaitForBoot(spec)) fleet.urgentArrived(spec, now)
+    }
+
     private fun releaseKept(now: Instant) {
         for (m in machines.values) {
             val job = m.keptFor ?: continue
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -174,9 +174,44 @@
         if (types.isEmpty()) return
         val bins = bins(now)
         for ((job, count) in demand(ranked, wallNowMs)) cover(job, count, bins, now)
+        standBy(bins, now)
         retire(now, bins)
     }
 
+    private class Arrival(val at: Instant, val spec: JobSpec, val machines: Int)
+
+    /** Jobs of the last while that could not wait for a boot. */
+    private val arrivals = ArrayDeque<Arrival>()
+
+    fun urgentArrived(spec: JobSpec, now: Instant) {
+        arrivals.addLast(Arrival(now, spec, machinesFor(spec)))
+    }
+
+    /**
+     * Sees to it that part of what will arrive of such jobs within a boot finds room: idle machines, or ones whose work
+     * may be stopped for them. Machines that run work of their own priority give none, and when all do the next job
+     * waits for a boot (days of kestrel-crashdesk-grown, first minutes: gangs waited up to 27 s).
+     */
+    private fun standBy(bins: MutableList<Bin>, now: Instant) {
+        while (arrivals.isNotEmpty() && now - arrivals.first().at > ARRIVALS_KEPT) arrivals.removeFirst()
+        val newest = arrivals.lastOrNull() ?: return
+        val spec = newest.spec
+        val boot = Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: return
+        var missing = (arrivals.sumOf { it.machines } / ARRIVALS_KEPT.seconds * boot * STAND_BY_SHARE).toInt()
+        for (bin in bins) {
+            if (missing <= 0) return
+            if (!allowed(spec, bin.type, bin.zone, bin.spot)) continue
+            val yielding = bin.machine?.attempts?.values?.filter { it.job.spec.urgency > spec.urgency && !it.job.isGang }
+                ?.fold(Resources.NONE) { sum, a -> sum + a.job.spec.need } ?: Resources.NONE
+            if (!(bin.free + yielding).holds(spec.need)) continue
+            bin.claimed = true
+            missing--
+        }
+        if (missing <= 0) return
+        val (type, zone, spot) = bestMarket(spec, missing, now) ?: return
+        order(type, zone, spot, minOf(missing, MAX_RENT, openTo(Market(type.name, zone, spot))), now)
+    }
+
     private class Bin(val type: MachineType, val zone: String, val spot: Boolean, var free: Resources, val machine: Machine?) {
         var claimed = false
     }
@@ -404,6 +439,10 @@
         private const val FIRST_REFUSAL_MS = 5_000L
         private const val MAX_REFUSAL_SHIFT = 3
         private const val RECORD_KEEP_MS = 30_000L
+        private val ARRIVALS_KEPT = Span(60_000)
+
+        /** Some machines come free by themselves within a boot; the rest of what arrives must find room. */
+        private const val STAND_BY_SHARE = 0.4
         private const val SLOW_FETCH = 1.2
 
         /** From acceptance to the launch, and from the image to the report of a running task. */
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -387,4 +387,32 @@
         report("m-1")
         assertEquals("log/job-2/000000001", logsIn(round()).first())
     }
+
+    /** Guards against jobs that cannot wait for a boot finding every machine held by work of their own priority. */
+    @Test
+    fun `machines are rented ahead of urgent jobs while nothing that runs would make way for them`() {
+        fun rentsWhileRunning(urgency: Urgency): Boolean {
+            val s = SchedulerTest()
+            var rented = false
+            for (id in 1..4) s.submit(s.spec(id, "urgent", Urgency.HIGH, JobShape.GANG, s.half))
+            for (id in 5..6) s.submit(s.spec(id, "c", urgency, JobShape.ARRAY, s.half))
+            repeat(5) {
+                for (m in 1..3) {
+                    val held = s.scheduler.let { _ -> s.onMachine["m-$m"].orEmpty() }
+                    for (c in s.report("m-$m", *held.map { s.running(it) }.toTypedArray())) {
+                        if (c is Command.Launch) s.onMachine.getOrPut("m-$m") { ArrayList() }.add(c.task.job.value.removePrefix("job-").toInt())
+                    }
+                }
+                val effects = s.round()
+                if (s.onMachine.values.sumOf { it.size } == 6) rented = rented || effects.any { it is Effect.Rent }
+                s.now += 1_000
+            }
+            assertEquals(6, s.onMachine.values.sumOf { it.size })
+            return rented
+        }
+        assertTrue(rentsWhileRunning(Urgency.HIGH))
+        assertFalse(rentsWhileRunning(Urgency.STANDARD))
+    }
+
+    private val onMachine = HashMap<String, MutableList<Int>>()
 }
