--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -174,9 +174,44 @@
         if (types.isEmpty()) return
         val bins = bins(now)
         for ((job, count) in demand(ranked, wallNowMs)) cover(job, count, bins, now)
+        standBy(bins, now)
         retire(now, bins)
     }
 
+    private class Arrival(val at: Instant, val spec: JobSpec, val machines: Int)
+
+    /** Jobs of the last while that could not wait for a boot. */
+    private val arrivals = ArrayDeque<Arrival>()
+
+    fun urgentArrived(spec: JobSpec, now: Instant) {
+        arrivals.addLast(Arrival(now, spec, machinesFor(spec)))
+    }
+
+    /**
+     * Sees to it that part of what will arrive of such jobs within a boot finds room: idle machines, or ones whose work
+     * may be stopped for them. Machines that run work of their own priority give none, and when all do the next job
+     * waits for a boot (days of kestrel-crashdesk-grown, first minutes: gangs waited up to 27 s).
+     */
+    private fun standBy(bins: MutableList<Bin>, now: Instant) {
+        while (arrivals.isNotEmpty() && now - arrivals.first().at > ARRIVALS_KEPT) arrivals.removeFirst()
+        val newest = arrivals.lastOrNull() ?: return
+        val spec = newest.spec
+        val boot = Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: return
+        var missing = (arrivals.sumOf { it.machines } / ARRIVALS_KEPT.seconds * boot * STAND_BY_SHARE).toInt()
+        for (bin in bins) {
+            if (missing <= 0) return
+            if (!allowed(spec, bin.type, bin.zone, bin.spot)) continue
+            val yielding = bin.machine?.attempts?.values?.filter { it.job.spec.urgency > spec.urgency && !it.job.isGang }
+                ?.fold(Resources.NONE) { sum, a -> sum + a.job.spec.need } ?: Resources.NONE
+            if (!(bin.free + yielding).holds(spec.need)) continue
+            bin.claimed = true
+            missing--
+        }
+        if (missing <= 0) return
+        val (type, zone, spot) = bestMarket(spec, missing, now) ?: return
+        order(type, zone, spot, minOf(missing, MAX_RENT, openTo(Market(type.name, zone, spot))), now)
+    }
+
     private class Bin(val type: MachineType, val zone: String, val spot: Boolean, var free: Resources, val machine: Machine?) {
         var claimed = false
     }
@@ -189,6 +224,8 @@
                 (now - m.rentedAt).seconds < type.bootS * SLOW_START + LEEWAY_S
             if (m.accepts || booting) bins.add(Bin(type, m.zone, m.spot, m.free, m))
         }
+        // What is claimed is not returned, so the cheap ones are claimed first.
+        bins.sortBy { !it.spot }
         for (r in rentals.values) {
             if (r.stage > RentStage.ASKED) continue
             val type = types[r.record.order.type] ?: continue
@@ -256,6 +293,9 @@
     private fun startAimS(jobClass: String): Double? =
         settings.objectives.filter { it.kind == ObjectiveKind.WAIT && it.jobClass == jobClass }.minOfOrNull { it.withinS }
 
+    /** Time from submission within which a job of the class is to start, as far as its aims tell. */
+    fun startDueS(jobClass: String): Double = startAimS(jobClass) ?: horizonS(jobClass)
+
     /** A start that has to fetch the image would most likely come too late, since fetches may be a third slower. */
     fun fetchMissesStart(spec: JobSpec): Boolean {
         val within = startAimS(spec.jobClass) ?: return false
@@ -382,7 +422,7 @@
             m.faulty -> "it is faulty"
             m.noticeAt != null -> "the cloud takes it back"
             m.deafSince?.let { now - it > SILENT_KEEP } == true -> "it does not hear us"
-            m.up -> if (!claimed && now - m.idleSince > tunables.idleKeep) "it is idle" else null
+            m.up -> if (!claimed && now - m.idleSince > idleKeep(m)) "it is idle" else null
             lapsed != null -> if (now - lapsed > SILENT_KEEP) "it is silent" else null
             (now - m.rentedAt).seconds > boot * GIVE_UP_START + LEEWAY_S && now - m.knownSince > SILENT_KEEP ->
                 "it does not come up"
@@ -390,6 +430,12 @@
         }
     }
 
+    /** A cheap machine waits for work as much longer as it is cheaper: what replaces it may well be a dear one. */
+    private fun idleKeep(m: Machine): Span {
+        val type = m.type ?: return tunables.idleKeep
+        return if (m.spot && type.spotPrice > 0) tunables.idleKeep * maxOf(1.0, type.price / type.spotPrice) else tunables.idleKeep
+    }
+
     companion object {
         private const val TERM_STRIDE = 100_000L
         private const val MAX_RENT = 50
@@ -401,6 +447,10 @@
         private const val FIRST_REFUSAL_MS = 5_000L
         private const val MAX_REFUSAL_SHIFT = 3
         private const val RECORD_KEEP_MS = 30_000L
+        private val ARRIVALS_KEPT = Span(60_000)
+
+        /** Some machines come free by themselves within a boot; the rest of what arrives must find room. */
+        private const val STAND_BY_SHARE = 0.4
         private const val SLOW_FETCH = 1.2
 
         /** From acceptance to the launch, and from the image to the report of a running task. */
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -343,4 +343,76 @@
         }
         assertTrue(rented)
     }
+
+    /** Guards against a task that is stopped time after time, since one that has just begun again loses the least. */
+    @Test
+    fun `a task that has made way once is not the first to be stopped again`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1")
+        round()
+        report("m-1")
+        report("m-1", running(1))
+        now += 5_000
+        submit(spec(2, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1", running(1))
+        round()
+        report("m-1", running(1))
+        report("m-1", running(1), running(2))
+        fun victims(id: Int): List<String> {
+            submit(spec(id, "urgent", Urgency.HIGH, JobShape.GANG, half))
+            return round().filterIsInstance<Effect.Kill>().flatMap { it.kills }.map { it.task.job.value }
+        }
+        // The youngest makes way first; run again, it is spared, though it is the youngest once more.
+        assertEquals(listOf("job-2"), victims(3))
+        report("m-1", running(1), ReportedTask(TaskRef(JobRef("job-2"), 0), Step(1), TaskStage.ENDED, EndCause.STOPPED, false))
+        round()
+        report("m-1", running(1))
+        report("m-1", running(1), running(3))
+        report("m-1", running(1), ReportedTask(TaskRef(JobRef("job-3"), 0), Step(1), TaskStage.ENDED, EndCause.DONE, false))
+        round()
+        report("m-1", running(1))
+        round()
+        report("m-1", running(1))
+        report("m-1", running(1), running(2, Step(2)))
+        assertEquals(2, listOf(1, 2).sumOf { scheduler.counts(JobRef("job-$it"))?.running ?: 0 })
+        assertEquals(listOf("job-1"), victims(4))
+    }
+
+    /** Guards against urgent gangs that wait for the change rate behind older arrays of their own priority. */
+    @Test
+    fun `of equal priority, what is to start sooner is placed first`() {
+        submit(spec(1, "c", Urgency.HIGH, JobShape.ARRAY, half).copy(tasks = 5))
+        now += 4_000
+        submit(spec(2, "urgent", Urgency.HIGH, JobShape.GANG, half))
+        report("m-1")
+        assertEquals("log/job-2/000000001", logsIn(round()).first())
+    }
+
+    /** Guards against jobs that cannot wait for a boot finding every machine held by work of their own priority. */
+    @Test
+    fun `machines are rented ahead of urgent jobs while nothing that runs would make way for them`() {
+        fun rentsWhileRunning(urgency: Urgency): Boolean {
+            val s = SchedulerTest()
+            var rented = false
+            for (id in 1..4) s.submit(s.spec(id, "urgent", Urgency.HIGH, JobShape.GANG, s.half))
+            for (id in 5..6) s.submit(s.spec(id, "c", urgency, JobShape.ARRAY, s.half))
+            repeat(5) {
+                for (m in 1..3) {
+                    val held = s.scheduler.let { _ -> s.onMachine["m-$m"].orEmpty() }
+                    for (c in s.report("m-$m", *held.map { s.running(it) }.toTypedArray())) {
+                        if (c is Command.Launch) s.onMachine.getOrPut("m-$m") { ArrayList() }.add(c.task.job.value.removePrefix("job-").toInt())
+                    }
+                }
+                val effects = s.round()
+                if (s.onMachine.values.sumOf { it.size } == 6) rented = rented || effects.any { it is Effect.Rent }
+                s.now += 1_000
+            }
+            assertEquals(6, s.onMachine.values.sumOf { it.size })
+            return rented
+        }
+        assertTrue(rentsWhileRunning(Urgency.HIGH))
+        assertFalse(rentsWhileRunning(Urgency.STANDARD))
+    }
+
+    private val onMachine = HashMap<String, MutableList<Int>>()
 }
