--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -230,7 +230,9 @@
      * Newest message of every machine that was dropped from the books. A copy of one of its reports may still come
      * when the machine is long gone: adopting it again would put work on a ghost.
      */
-    private val forgotten = HashMap<MachineId, Position>()
+    private val forgotten = object : LinkedHashMap<MachineId, Position>() {
+        override fun removeEldestEntry(eldest: Map.Entry<MachineId, Position>) = size > MAX_FORGOTTEN
+    }
 
     /**
      * Tells machines whose reports arrive while our answers do not reach them. One whose answers arrive comes back
@@ -880,6 +882,7 @@
         when {
             it.release == ReleaseStage.GONE -> "gone"
             it.release != ReleaseStage.NONE -> "releasing"
+            it.up && it.deafSince != null -> "deaf"
             it.up && it.attempts.isEmpty() -> "idle"
             it.up -> "busy"
             it.lapsedAt != null -> "silent"
@@ -903,6 +906,9 @@
         private const val SILENT_SLACK_MS = 1_000L
         private const val MAX_COMMANDS = 400
         private const val MAX_WAITS = 10_000
+
+        /** Far more than a fleet can lose while copies of its reports may still be under way. */
+        private const val MAX_FORGOTTEN = 10_000
         private const val MAX_TASKS_PER_STEP = 1_000
         private const val RECORD_SLACK = 64
         private const val FLEET_SHARE = 4
--- a/src/main/kotlin/dewwing/control/core/quota/Quota.kt
+++ b/src/main/kotlin/dewwing/control/core/quota/Quota.kt
@@ -1,6 +1,7 @@
 package dewwing.control.core.quota
 
 import dewwing.control.core.job.Job
+import dewwing.protocol.JobRef
 import dewwing.protocol.JobShape
 import dewwing.protocol.JobSpec
 import dewwing.protocol.Resources
@@ -31,12 +32,17 @@
 
     /** Kept within a round for a gang that its team's limit holds up, so that lower ranks don't take it bit by bit. */
     private val held = HashMap<String, Resources>()
+    private val holders = HashSet<JobRef>()
 
     fun hold(spec: JobSpec) {
+        if (!holders.add(spec.ref)) return
         held[spec.team] = (held[spec.team] ?: Resources.NONE) + spec.unit
     }
 
-    fun clearHolds() = held.clear()
+    fun clearHolds() {
+        held.clear()
+        holders.clear()
+    }
 
     /** How many more tasks of this job the team's limit allows now. */
     fun room(spec: JobSpec): Int {
