--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -224,8 +224,6 @@
                 (now - m.rentedAt).seconds < type.bootS * SLOW_START + LEEWAY_S
             if (m.accepts || booting) bins.add(Bin(type, m.zone, m.spot, m.free, m))
         }
-        // What is claimed is not returned, so the cheap ones are claimed first.
-        bins.sortBy { !it.spot }
         for (r in rentals.values) {
             if (r.stage > RentStage.ASKED) continue
             val type = types[r.record.order.type] ?: continue
@@ -422,7 +420,7 @@
             m.faulty -> "it is faulty"
             m.noticeAt != null -> "the cloud takes it back"
             m.deafSince?.let { now - it > SILENT_KEEP } == true -> "it does not hear us"
-            m.up -> if (!claimed && now - m.idleSince > idleKeep(m)) "it is idle" else null
+            m.up -> if (!claimed && now - m.idleSince > tunables.idleKeep) "it is idle" else null
             lapsed != null -> if (now - lapsed > SILENT_KEEP) "it is silent" else null
             (now - m.rentedAt).seconds > boot * GIVE_UP_START + LEEWAY_S && now - m.knownSince > SILENT_KEEP ->
                 "it does not come up"
@@ -430,12 +428,6 @@
         }
     }
 
-    /** A cheap machine waits for work as much longer as it is cheaper: what replaces it may well be a dear one. */
-    private fun idleKeep(m: Machine): Span {
-        val type = m.type ?: return tunables.idleKeep
-        return if (m.spot && type.spotPrice > 0) tunables.idleKeep * maxOf(1.0, type.price / type.spotPrice) else tunables.idleKeep
-    }
-
     companion object {
         private const val TERM_STRIDE = 100_000L
         private const val MAX_RENT = 50
