Renting ahead and overflow's room scaled to how often urgent jobs come

Ruled out: the order of jobs (FIFO within the class is kept). Overflow leaves the machines of one largest job, renting ahead asks for half of what arrives within a boot, less one.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -659,12 +659,12 @@
         }
     }
 
-    /** Machines that two of the largest jobs seen so far which cannot wait for a boot would take. */
+    /** Machines that the largest job seen so far which cannot wait for a boot would take. */
     private var standingRoom = 0
 
     private fun noteUrgent(spec: JobSpec) {
         if (spec.need.accelerators > 0 && fleet.cannotWaitForBoot(spec)) {
-            standingRoom = maxOf(standingRoom, 2 * fleet.machinesFor(spec))
+            standingRoom = maxOf(standingRoom, fleet.machinesFor(spec))
         }
     }
 
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -197,7 +197,7 @@
         val newest = arrivals.lastOrNull() ?: return
         val spec = newest.spec
         val boot = Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: return
-        var missing = (arrivals.sumOf { it.machines } / ARRIVALS_KEPT.seconds * boot * STAND_BY_SHARE).toInt()
+        var missing = (arrivals.sumOf { it.machines } / ARRIVALS_KEPT.seconds * boot * STAND_BY_SHARE).toInt() - STAND_BY_LESS
         for (bin in bins) {
             if (missing <= 0) return
             if (!allowed(spec, bin.type, bin.zone, bin.spot)) continue
@@ -441,8 +441,11 @@
         private const val RECORD_KEEP_MS = 30_000L
         private val ARRIVALS_KEPT = Span(60_000)
 
-        /** Some machines come free by themselves within a boot; the rest of what arrives must find room. */
-        private const val STAND_BY_SHARE = 0.4
+        /** Some machines come free by themselves within a boot; part of what arrives must find room. */
+        private const val STAND_BY_SHARE = 0.5
+
+        /** Where a job comes once in a boot, a machine that waits for it costs more than it brings. */
+        private const val STAND_BY_LESS = 1
         private const val SLOW_FETCH = 1.2
 
         /** From acceptance to the launch, and from the image to the report of a running task. */
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -395,6 +395,8 @@
             val s = SchedulerTest()
             var rented = false
             for (id in 1..4) s.submit(s.spec(id, "urgent", Urgency.HIGH, JobShape.GANG, s.half))
+            // One more, over at once: it counts for the rate.
+            s.cancelled(s.spec(7, "urgent", Urgency.HIGH, JobShape.GANG, s.half))
             for (id in 5..6) s.submit(s.spec(id, "c", urgency, JobShape.ARRAY, s.half))
             repeat(5) {
                 for (m in 1..3) {
@@ -415,4 +417,9 @@
     }
 
     private val onMachine = HashMap<String, MutableList<Int>>()
+
+    private fun cancelled(s: JobSpec) {
+        submit(s)
+        scheduler.onJobEntry(s.ref, JobRecord(JobStage.ABORTED, s, now), Revision(900), Instant(now))
+    }
 }
