--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -30,7 +30,6 @@
 import dewwing.protocol.Position
 import dewwing.protocol.Report
 import dewwing.protocol.ReportedTask
-import dewwing.protocol.Resources
 import dewwing.protocol.Revision
 import dewwing.protocol.Span
 import dewwing.protocol.Step
--- a/src/main/kotlin/dewwing/control/core/intent/Records.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/Records.kt
@@ -82,7 +82,7 @@
     companion object {
         fun of(value: Map<String, Any?>): LogRecord {
             val on = (value["on"] as? List<*> ?: emptyList<Any?>()).map { entry ->
-                val pair = entry as? List<*> ?: throw MalformedException("on")
+                val pair = (entry as? List<*>)?.takeIf { it.size == 2 } ?: throw MalformedException("on")
                 Placed(MachineId(pair[0] as? String ?: throw MalformedException("on")), Ranges.decode(pair[1]))
             }
             return LogRecord(on, value["done"]?.let(Ranges::decode) ?: BitSet())
--- a/src/main/kotlin/dewwing/control/http/HttpServer.kt
+++ b/src/main/kotlin/dewwing/control/http/HttpServer.kt
@@ -16,7 +16,6 @@
 import io.ktor.utils.io.readFully
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
--- a/src/test/kotlin/dewwing/protocol/FormatsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -2,6 +2,7 @@
 
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.Ranges
 import dewwing.control.peer.PeerAnswer
 import dewwing.control.peer.PeerCodec
@@ -125,6 +126,21 @@
         for (bad in listOf("job-1", "job-1/", "job-1/-2", "job-1/x", "/3")) assertNull(TaskRef.parse(bad), bad)
     }
 
+    /** Guards against one bad record that ends every new leader while it reads the logs. */
+    @Test
+    fun `a log record of the wrong shape is told as malformed and nothing else`() {
+        for (on in listOf(listOf(emptyList<Any?>()), listOf(listOf("m-1")), listOf("m-1"), listOf(listOf(1L, emptyList<Any?>())))) {
+            assertThrows(MalformedException::class.java) { LogRecord.of(mapOf("on" to on)) }
+        }
+    }
+
+    @Test
+    fun `a release record names its machines, and one of 0_1_0 the machine of its key`() {
+        val ids = listOf(MachineId("m-1"), MachineId("m-2"))
+        assertEquals(ids, ReleaseRecord.of("release/000000001", ReleaseRecord(ids).toValue()).machines)
+        assertEquals(listOf(MachineId("m-7")), ReleaseRecord.of("release/m-7", mapOf("at" to 3L)).machines)
+    }
+
     @Test
     fun `task sets survive as ranges and fit where they must`() {
         val random = Random(5)
