--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -420,6 +420,7 @@
             clock = this,
             knownTypes = { types },
             onTypes = ::learned,
+            hasSiblings = peers.isNotEmpty(),
             workersElsewhere = { freshWords().any { workersAt[it] == true } },
             siblingsHeard = { freshWords().isNotEmpty() },
         )
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -54,6 +54,8 @@
     private val clock: ApiHost,
     private val knownTypes: () -> List<MachineType>,
     private val onTypes: (List<MachineType>) -> Unit,
+    /** There are siblings to hand over to. */
+    private val hasSiblings: Boolean,
     /** Some sibling lately turned workers away. */
     private val workersElsewhere: () -> Boolean,
     /** Words of siblings arrive at all. */
@@ -153,7 +155,8 @@
 
     private suspend fun serve(): Unit = coroutineScope {
         val since = rebuild()
-        launch { watchWorkers() }
+        // A controller that runs alone has nobody whom the workers could reach instead.
+        if (hasSiblings) launch { watchWorkers() }
         launch { followJobs(since) }
         launch { watchCloud() }
         decide(this)
