--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -70,6 +70,14 @@
         return effects
     }
 
+    /** Submits [s] and brings it to the launch on machine m-1: placed in a round, handed out with the next report. */
+    private fun launchOnM1(s: JobSpec) {
+        submit(s)
+        report("m-1")
+        round()
+        report("m-1")
+    }
+
     private fun running(id: Int, attempt: Step = Step(1)) =
         ReportedTask(TaskRef(JobRef("job-$id"), 0), attempt, TaskStage.RUNNING, null, false)
 
@@ -98,10 +106,7 @@
 
     @Test
     fun `a finished task is forgotten by its worker only after its result is written`() {
-        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half).copy(tasks = 2))
-        report("m-1")
-        round()
-        report("m-1")
+        launchOnM1(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half).copy(tasks = 2))
         val ended = ReportedTask(TaskRef(JobRef("job-1"), 0), Step(1), TaskStage.ENDED, EndCause.DONE, false)
         val other = ReportedTask(TaskRef(JobRef("job-1"), 1), Step(1), TaskStage.RUNNING, null, false)
         assertTrue(report("m-1", ended, other).none { it is Command.Reap })
@@ -113,10 +118,7 @@
 
     @Test
     fun `a late report says nothing and gets nothing`() {
-        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
-        report("m-1")
-        round()
-        report("m-1")
+        launchOnM1(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
         report("m-1", running(1))
         val late = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, Position(1, 1), term, null, emptyList())
         scheduler.onReport(late, Instant(now))
@@ -149,10 +151,7 @@
 
     @Test
     fun `a job that cannot wait for a boot stops the cheapest work of lower priority and gets the room`() {
-        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
-        report("m-1")
-        round()
-        report("m-1")
+        launchOnM1(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
         now += 60_000
         submit(spec(2, "c", Urgency.STANDARD, JobShape.ARRAY, half, checkpointS = 10.0))
         seq = 100
@@ -175,10 +174,7 @@
     @Test
     fun `a cancelled job's tasks are killed at once and never launched`() {
         val job = spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half).copy(tasks = 2)
-        submit(job)
-        report("m-1")
-        round()
-        report("m-1")
+        launchOnM1(job)
         val second = ReportedTask(TaskRef(JobRef("job-1"), 1), Step(1), TaskStage.RUNNING, null, false)
         report("m-1", running(1), second)
         scheduler.onJobEntry(job.ref, JobRecord(JobStage.ABORTED, job, 0), Revision(200), Instant(now))
@@ -330,10 +326,7 @@
     /** Guards against a job that waits for ever for the one machine on which it has failed. */
     @Test
     fun `a machine on which a job has failed does not count as room for it`() {
-        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
-        report("m-1")
-        round()
-        report("m-1")
+        launchOnM1(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
         report("m-1", ReportedTask(TaskRef(JobRef("job-1"), 0), Step(1), TaskStage.ENDED, EndCause.ERROR, false))
         var rented = false
         repeat(8) {
@@ -347,10 +340,7 @@
     /** Guards against a task that is stopped time after time, since one that has just begun again loses the least. */
     @Test
     fun `a task that has made way once is not the first to be stopped again`() {
-        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
-        report("m-1")
-        round()
-        report("m-1")
+        launchOnM1(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
         report("m-1", running(1))
         now += 5_000
         submit(spec(2, "c", Urgency.STANDARD, JobShape.ARRAY, half))
