Work of a round and of a report no longer grows with jobs times machines

Every waiting job looked at every machine in each round, for a place, for room to make and for the fleet's plan; every write woke every waiting report to look through all jobs; every kill opened a connection of its own; every answer built its counter anew under a path the caller chose.

Now: machines by type, zone and kind without the full ones (Openings), an index of jobs that wait, reports looked at where they wait, kills joined per machine and bounded, counters kept for known paths only.

Found on the way by reading: reports are answered while a new leader rebuilds its picture, but their leases were in no book. Test with it.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -145,10 +145,17 @@
             Metrics.PATH -> if (request.method == "GET") scrape() else notAllowed("GET")
             else -> api.handle(request, relayed = false)
         }
-        metrics.answered(request.path.split('/', limit = 4).take(3).joinToString("/"), answer.status)
+        metrics.answered(knownPath(request.path), answer.status)
         return answer
     }
 
+    /** Callers choose paths freely; a counter for each would grow without end. */
+    private fun knownPath(path: String): String = when {
+        path == Wire.REPORT || path == Wire.HEALTH || path == Metrics.PATH -> path
+        path.startsWith(Wire.JOBS) -> Wire.JOBS
+        else -> "other"
+    }
+
     private fun notAllowed(method: String) =
         HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
 
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -73,7 +73,8 @@
         signal.trySend(Unit)
     }
 
-    private var written = CompletableDeferred<Unit>()
+    /** Reports whose answers wait, by machine. */
+    private val waiters = LinkedHashMap<MachineId, CompletableDeferred<Unit>>()
 
     /**
      * Lets the round that a report causes be decided and logged before the report is answered, within
@@ -81,14 +82,19 @@
      */
     suspend fun settle(s: Scheduler, machine: MachineId) {
         wake()
-        withTimeoutOrNull(REPORT_ANSWER_MS) {
-            while (scheduler === s && s.worthWaiting(machine)) written.await()
+        if (!s.worthWaiting(machine)) return
+        val ready = CompletableDeferred<Unit>()
+        waiters.put(machine, ready)?.complete(Unit)
+        try {
+            withTimeoutOrNull(REPORT_ANSWER_MS) { ready.await() }
+        } finally {
+            waiters.remove(machine, ready)
         }
     }
 
-    private fun announceWritten() {
-        written.complete(Unit)
-        written = CompletableDeferred()
+    /** Asked here for all: resuming each waiting report to look for itself costs more than the look. */
+    private fun announceWritten(s: Scheduler) {
+        for ((machine, ready) in waiters) if (!s.worthWaiting(machine)) ready.complete(Unit)
     }
 
     /** Returns when the term is over. */
@@ -313,7 +319,7 @@
                     is CommitResult.Conflict -> if (!s.onRefused(result.failed, clock.now())) end("the term's key changed")
                     CommitResult.HoldEnded -> end("the hold has run out")
                 }
-                announceWritten()
+                announceWritten(s)
                 return
             } catch (e: StateUnavailableException) {
                 log.debug("change not certain: {}", e.message)
--- a/src/main/kotlin/dewwing/control/app/Metrics.kt
+++ b/src/main/kotlin/dewwing/control/app/Metrics.kt
@@ -1,5 +1,6 @@
 package dewwing.control.app
 
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MultiGauge
 import io.micrometer.core.instrument.Tags
@@ -17,8 +18,16 @@
     fun called(service: String, call: String, outcome: String) =
         registry.counter("dewwing.calls", "service", service, "call", call, "outcome", outcome).increment()
 
-    fun answered(path: String, status: Int) =
-        registry.counter("dewwing.answers", "path", path, "status", status.toString()).increment()
+    private val answers = HashMap<String, Array<Counter?>>()
+
+    /** Kept at hand, since reports come at hundreds a second; [path] must be one of few, not whatever a caller sent. */
+    fun answered(path: String, status: Int) {
+        val byStatus = answers.getOrPut(path) { arrayOfNulls(MAX_STATUS) }
+        val at = status.coerceIn(0, MAX_STATUS - 1)
+        val counter = byStatus[at]
+            ?: registry.counter("dewwing.answers", "path", path, "status", status.toString()).also { byStatus[at] = it }
+        counter.increment()
+    }
 
     fun round(nanos: Long) = rounds.record(nanos, TimeUnit.NANOSECONDS)
 
@@ -37,5 +46,6 @@
 
     companion object {
         const val PATH = "/metrics"
+        private const val MAX_STATUS = 600
     }
 }
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -12,6 +12,7 @@
 import dewwing.control.core.job.Attempt
 import dewwing.control.core.job.AttemptPhase
 import dewwing.control.core.job.Job
+import dewwing.control.core.placement.Openings
 import dewwing.control.core.placement.Placement
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.placement.Preemption
@@ -60,6 +61,13 @@
     private val tunables = settings.tunables
     private val jobs = LinkedHashMap<JobRef, Job>()
     private val closed = ArrayDeque<Job>()
+    private val closedRefs = HashSet<JobRef>()
+
+    /** Every open job with tasks that have no place; others may be among them until the next round. */
+    private val waitingJobs = LinkedHashSet<Job>()
+
+    /** What has been looked at; see [Effort]. */
+    val effort = Effort()
     private val machines = LinkedHashMap<MachineId, Machine>()
     private val types = LinkedHashMap<String, MachineType>()
     private val quota = Quota(settings.teams)
@@ -71,11 +79,14 @@
     private val gcQueue = ArrayDeque<Pair<Instant, String>>()
     private var batch: Batch? = null
     private val effects = ArrayList<Effect>()
-    private val fleet = Fleet(settings, term, machines, types, quota)
+    private val fleet = Fleet(settings, term, machines, types, quota, effort)
     private val preemption = Preemption(quota, fleet::fetchS)
 
-    /** Older leaders' answers may keep a worker's lease alive until then. */
-    private val olderLeadersUntil = startedAt + tunables.outageBound
+    /**
+     * Answers that are in no book here may keep a worker's lease alive until then: those of older leaders, and our
+     * own before the picture was rebuilt.
+     */
+    private var unbookedUntil = startedAt + tunables.outageBound
     private val leaseSpan = Span((settings.workers.lease.ms * LEASE_DRIFT).toLong() + LEASE_SLACK_MS)
 
     /** A worker that has not reported for so long is not counted on for new work. */
@@ -95,6 +106,7 @@
             job.finalAt = startedAt
         }
         jobs[ref] = job
+        if (job.isOpen) waitingJobs.add(job)
         noteUrgent(spec)
     }
 
@@ -133,6 +145,9 @@
     }
 
     fun restored(now: Instant) {
+        // Reports are answered while the picture is rebuilt. With a slow state service that takes longer than older
+        // leaders' answers count, and a worker answered last thing before would have been given up too early.
+        unbookedUntil = maxOf(unbookedUntil, now)
         for (key in orphanLogs) gcQueue.addLast((now + tunables.logLife) to key)
         orphanLogs = ArrayList()
         for (job in jobs.values.filter { !it.isOpen }) {
@@ -156,8 +171,10 @@
         val job = jobs[ref]
         if (job == null) {
             val spec = record.spec ?: return
-            if (record.isFinal || closed.any { it.ref == ref }) return
-            jobs[ref] = Job(spec, revision, record.submittedAtMs)
+            if (record.isFinal || ref in closedRefs) return
+            val new = Job(spec, revision, record.submittedAtMs)
+            jobs[ref] = new
+            waitingJobs.add(new)
             noteUrgent(spec)
             noteArrival(spec, now)
             ranked = null
@@ -181,7 +198,9 @@
 
     private fun close(job: Job, now: Instant) {
         jobs.remove(job.ref)
+        waitingJobs.remove(job)
         closed.addLast(job)
+        closedRefs.add(job.ref)
         ranked = null
         for (step in job.logSteps) gcQueue.addLast((now + tunables.logLife) to Keys.log(job.ref, step))
     }
@@ -269,7 +288,9 @@
         if (!m.accepts) return false
         if (m.attempts.values.any { it.phase == AttemptPhase.LOGGING }) return true
         if (m.attempts.values.any { it.phase == AttemptPhase.READY }) return false
-        return jobs.values.any { !it.pending.isEmpty && it.spec.need.let(m.free::holds) && Placer.machineAllowed(it.spec, m) }
+        effort.look(minOf(waitingJobs.size, MAX_WAITING_LOOKS))
+        return waitingJobs.asSequence().take(MAX_WAITING_LOOKS)
+            .any { !it.pending.isEmpty && m.free.holds(it.spec.need) && Placer.machineAllowed(it.spec, m) }
     }
 
     /** The answer to [report]; nothing if a newer one of its sender has come since, or it was late itself. */
@@ -289,6 +310,7 @@
 
     private fun readTasks(m: Machine, report: Report, now: Instant, commands: MutableList<Command>) {
         val listed = HashSet<Pair<Any, Step>>(report.tasks.size * 2)
+        effort.look(report.tasks.size + m.attempts.size)
         for (t in report.tasks) {
             listed.add(t.task to t.attempt)
             val known = m.attempts[t.task]?.takeIf { it.number == t.attempt }
@@ -454,6 +476,7 @@
         if (a.machine.attempts[a.ref] !== a) return
         a.machine.detach(a, now)
         a.job.detach(a)
+        if (a.job.isOpen && !a.job.pending.isEmpty) waitingJobs.add(a.job)
         quota.remove(a.job)
     }
 
@@ -482,6 +505,7 @@
      * would wait for the lease to lapse or, on a machine that goes on reporting, for ever.
      */
     private fun takeBackUnsent(now: Instant) {
+        effort.look(machines.size)
         for (m in machines.values) {
             if (m.accepts && now - m.heardAt <= silenceSpan || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
             for (a in m.attempts.values.toList()) if (a.phase == AttemptPhase.READY) lost(a, now)
@@ -490,9 +514,10 @@
 
     /** Lets leases run out: without an answer from us since then, the worker has killed everything it had. */
     private fun lapse(now: Instant) {
+        effort.look(machines.size)
         for (m in machines.values) {
             if (!m.up && m.attempts.isEmpty()) continue
-            val answered = maxOf(m.lastAnswered, olderLeadersUntil)
+            val answered = maxOf(m.lastAnswered, unbookedUntil)
             var deadline = answered + leaseSpan
             val relaunch = startedAt + tunables.relaunchWait
             if (m.lastAnswered == Instant.NEVER && relaunch > deadline) deadline = relaunch
@@ -528,11 +553,21 @@
         takeBackUnsent(now)
         if (batch == null) compose(now, mayGoOn)
         effects.addAll(fleet.takeEffects(now))
-        val out = effects.toList()
+        val out = joined(effects)
         effects.clear()
         return out
     }
 
+    /** Kills of one machine go in one message: a cancelled array would open a connection for each of its tasks. */
+    private fun joined(effects: List<Effect>): List<Effect> {
+        val out = effects.filterTo(ArrayList()) { it !is Effect.Kill }
+        val kills = effects.filterIsInstance<Effect.Kill>().groupBy { Triple(it.machine, it.endpoint, it.session) }
+        for ((to, parts) in kills) {
+            for (some in parts.flatMap { it.kills }.chunked(MAX_COMMANDS)) out.add(Effect.Kill(to.first, to.second, to.third, some))
+        }
+        return out
+    }
+
     private fun compose(now: Instant, mayGoOn: () -> Boolean) {
         val b = Batch()
         val room = minOf(settings.state.opsPerCommit, writes.available(now).toInt())
@@ -595,10 +630,15 @@
     /** Places jobs in rank order, going on after the job where the last round's budget ended. */
     private fun placeAll(b: Batch, room: Int, now: Instant, mayGoOn: () -> Boolean) {
         val order = ranking(now)
-        val usable = machines.values.filterTo(ArrayList()) { it.accepts && now - it.heardAt <= silenceSpan }
         val from = resumeAfter?.let { ref -> order.indexOfFirst { it.ref == ref } + 1 } ?: 0
         resumeAfter = null
         releaseKept(now)
+        waitingJobs.removeIf { it.pending.isEmpty || !it.isOpen || it.isComplete }
+        effort.look(order.size)
+        if (waitingJobs.isEmpty()) return
+        val takers = machines.values.filter { it.accepts && now - it.heardAt <= silenceSpan }
+        effort.look(machines.size)
+        val openings = Openings(takers, waitingJobs, effort)
         for (i in from until order.size) {
             val job = order[i]
             if (b.ops >= room) return
@@ -606,27 +646,25 @@
                 resumeAfter = order.getOrNull(i - 1)?.ref
                 return
             }
-            if (job.pending.isEmpty || !job.isOpen || job.isComplete || now < job.notBefore) continue
+            if (job !in waitingJobs || now < job.notBefore) continue
             if (Keys.job(job.ref) in b.conditions) continue
-            val open = usable.filter { it.keptFor == null || it.keptFor === job }
             val urgent = job.madeRoomAt == null && job.live.isEmpty() && fleet.cannotWaitForBoot(job.spec)
             var placements = emptyList<Placement>()
             if (urgent && fleet.fetchMissesStart(job.spec)) {
                 // Fetching its image alone would make it late: machines that have it come first, made free if need be.
-                val ready = open.filter { job.spec.image in it.images }
-                placements = choose(job, ready)
-                if (placements.isEmpty() && makeRoom(job, ready, now)) continue
+                placements = choose(job, openings) { job.spec.image in it.images }
+                if (placements.isEmpty() && makeRoom(job, openings.stoppableFor(job, preemption).filter { job.spec.image in it.images }, now)) continue
             }
-            if (placements.isEmpty()) placements = choose(job, open)
+            if (placements.isEmpty()) placements = choose(job, openings)
             if (placements.isEmpty()) {
-                if (urgent) makeRoom(job, usable, now)
+                if (urgent) makeRoom(job, openings.stoppableFor(job, preemption), now)
                 // Lower ranks must not take the machine that this gang is next to get.
-                if (job.isGang && job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) reserve(job, usable)
+                if (job.isGang && job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) openings.reserve(job)
                 continue
             }
             logStep(b, job, placements, now)
         }
-        placeOverflow(b, room, order, usable, now)
+        placeOverflow(b, room, order, openings, now)
     }
 
     /**
@@ -636,22 +674,24 @@
      * left alone: such a job cannot stop work of its own priority, so that on the rough day of kestrel-crashdesk-grown
      * gangs waited for the overflow to end.
      */
-    private fun placeOverflow(b: Batch, room: Int, order: List<Job>, usable: List<Machine>, now: Instant) {
-        val idle = usable.filter { m ->
+    private fun placeOverflow(b: Batch, room: Int, order: List<Job>, openings: Openings, now: Instant) {
+        val late = order.filter { job ->
+            job in waitingJobs && !job.isGang && job.spec.need.accelerators <= 0 && now >= job.notBefore &&
+                (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0 >= fleet.horizonS(job.spec.jobClass) * OVERFLOW_AFTER
+        }
+        if (late.isEmpty()) return
+        val idle = openings.withAccelerators().filter { m ->
             val lastProper = m.lastProper
-            m.keptFor == null && (m.type?.size?.accelerators ?: 0.0) > 0 && m.attempts.values.none { it.job.spec.need.accelerators > 0 } &&
+            m.keptFor == null && m.attempts.values.none { it.job.spec.need.accelerators > 0 } &&
                 lastProper != null && now - lastProper < OVERFLOW_KEEP
         }
         if (idle.isEmpty()) return
         // Cheap ones come first, and so the dear ones, which every job may use, are what is left.
         val (empty, begun) = idle.partition { it.attempts.isEmpty() }
         val open = begun + empty.sortedBy { !it.spot }.dropLast(standingRoom)
-        for (job in order) {
+        for (job in late) {
             if (b.ops >= room) return
-            if (job.isGang || job.spec.need.accelerators > 0 || job.pending.isEmpty || !job.isOpen || now < job.notBefore) continue
             if (Keys.job(job.ref) in b.conditions) continue
-            val waitedS = (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0
-            if (waitedS < fleet.horizonS(job.spec.jobClass) * OVERFLOW_AFTER) continue
             val limit = minOf(job.pending.cardinality(), quota.room(job.spec), MAX_TASKS_PER_STEP)
             val placements = Placer.place(job, open.filter { Placer.machineAllowed(job.spec, it) && it.id.value !in job.failedOn }, limit)
             if (placements.isNotEmpty()) logStep(b, job, placements, now)
@@ -682,8 +722,9 @@
     }
 
     /** Stops what [Preemption] chose for [job] and keeps the room for it; false when no room can be made. */
-    private fun makeRoom(job: Job, usable: List<Machine>, now: Instant): Boolean {
-        val best = preemption.plan(job.spec, usable, now)
+    private fun makeRoom(job: Job, allowed: List<Machine>, now: Instant): Boolean {
+        effort.look(allowed.size)
+        val best = preemption.plan(job.spec, allowed, now)
         if (best.isEmpty()) return false
         job.madeRoomAt = now
         for (room in best) {
@@ -697,7 +738,7 @@
         return true
     }
 
-    private fun choose(job: Job, usable: List<Machine>): List<Placement> {
+    private fun choose(job: Job, openings: Openings, also: (Machine) -> Boolean = { true }): List<Placement> {
         if (job.isGang && job.live.isNotEmpty()) return emptyList()
         val pending = if (job.isGang) job.spec.tasks else job.pending.cardinality()
         var limit = minOf(pending, quota.room(job.spec), if (job.isGang) pending else MAX_TASKS_PER_STEP)
@@ -708,10 +749,7 @@
             return emptyList()
         }
         val useful = Placer.usefulTypes(job.spec, types.values).mapTo(HashSet()) { it.name }
-        val candidates = usable.filter { m ->
-            m.type?.name in useful && Placer.machineAllowed(job.spec, m) && m.id.value !in job.failedOn
-        }
-        val placements = Placer.place(job, candidates, limit)
+        val placements = Placer.place(job, openings.roomFor(job, useful, also), limit)
         if (placements.isEmpty()) wait(job, "a machine with room")
         return placements
     }
@@ -722,17 +760,6 @@
         log.info("job {} waits for {}", job.ref, reason)
     }
 
-    private fun reserve(job: Job, usable: MutableList<Machine>) {
-        var missing = job.spec.tasks
-        val fitting = usable.filter { Placer.machineAllowed(job.spec, it) }
-            .sortedBy { it.attempts.size }
-        for (m in fitting) {
-            if (missing <= 0) return
-            missing -= m.type?.size?.slots(job.spec.need) ?: 0
-            usable.remove(m)
-        }
-    }
-
     /** One step: the placements and the finished tasks not yet recorded, as far as one record holds them. */
     private fun logStep(b: Batch, job: Job, placements: List<Placement>, now: Instant) {
         val step = job.takeStep()
@@ -802,7 +829,7 @@
         }
         while (closed.isNotEmpty() && now - (closed.first().finalAt ?: now) > tunables.logLife &&
             closed.first().live.isEmpty()
-        ) closed.removeFirst()
+        ) closedRefs.remove(closed.removeFirst().ref)
     }
 
     fun onWritten(revision: Revision, now: Instant) {
@@ -905,6 +932,7 @@
         private const val SILENT_SLACK_MS = 1_000L
         private const val MAX_COMMANDS = 400
         private const val MAX_WAITS = 10_000
+        private const val MAX_WAITING_LOOKS = 200
 
         /** Far more than a fleet can lose while copies of its reports may still be under way. */
         private const val MAX_FORGOTTEN = 10_000
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -2,6 +2,7 @@
 
 import dewwing.control.core.CoreSettings
 import dewwing.control.core.Effect
+import dewwing.control.core.Effort
 import dewwing.control.core.RentOrder
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.ReleaseRecord
@@ -28,6 +29,7 @@
     private val machines: MutableMap<MachineId, Machine>,
     private val types: Map<String, MachineType>,
     private val quota: Quota,
+    private val effort: Effort,
 ) {
     private val log = LoggerFactory.getLogger("fleet")
     private val tunables = settings.tunables
@@ -173,7 +175,16 @@
         planAt = now
         if (types.isEmpty()) return
         val bins = bins(now)
-        for ((job, count) in demand(ranked, wallNowMs)) cover(job, count, bins, now)
+        effort.look(machines.size + ranked.size)
+        val wanted = demand(ranked, wallNowMs)
+        wanted.map { it.first.spec.need }.reduceOrNull(Resources::least)?.let { least ->
+            // Most machines are full most of the time: no job needs to look at those.
+            val open = bins.filterTo(ArrayList()) { it.free.holds(least) }
+            for ((job, count) in wanted) {
+                cover(job, count, open, bins, now)
+                open.removeIf { !it.free.holds(least) }
+            }
+        }
         standBy(bins, now)
         retire(now, bins)
     }
@@ -196,11 +207,12 @@
         while (arrivals.isNotEmpty() && now - arrivals.first().at > ARRIVALS_KEPT) arrivals.removeFirst()
         val newest = arrivals.lastOrNull() ?: return
         val spec = newest.spec
-        val boot = Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: return
+        val useful = Placer.usefulTypes(spec, types.values)
+        val boot = useful.minOfOrNull { it.bootS + fetchS(spec, it) } ?: return
         var missing = (arrivals.sumOf { it.machines } / ARRIVALS_KEPT.seconds * boot * STAND_BY_SHARE).toInt() - STAND_BY_LESS
         for (bin in bins) {
             if (missing <= 0) return
-            if (!allowed(spec, bin.type, bin.zone, bin.spot)) continue
+            if (!allowed(spec, useful, bin)) continue
             val yielding = bin.machine?.attempts?.values?.filter { it.job.spec.urgency > spec.urgency && !it.job.isGang }
                 ?.fold(Resources.NONE) { sum, a -> sum + a.job.spec.need } ?: Resources.NONE
             if (!(bin.free + yielding).holds(spec.need)) continue
@@ -310,14 +322,17 @@
 
     fun fetchS(spec: JobSpec, type: MachineType): Double = spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
 
-    private fun cover(job: Job, count: Int, bins: MutableList<Bin>, now: Instant) {
+    private fun cover(job: Job, count: Int, open: MutableList<Bin>, bins: MutableList<Bin>, now: Instant) {
         val spec = job.spec
         var missing = count
-        for (bin in bins) {
+        val useful = Placer.usefulTypes(spec, types.values)
+        for (bin in open) {
             if (missing <= 0) return
+            effort.look(1)
+            if (!bin.free.holds(spec.need)) continue
             // Where the job has failed it is not placed again: counting on that machine would leave it waiting for ever.
             if (bin.machine?.id?.value in job.failedOn) continue
-            if (!allowed(spec, bin.type, bin.zone, bin.spot)) continue
+            if (!allowed(spec, useful, bin)) continue
             val fit = minOf(missing, bin.free.slots(spec.need))
             if (fit <= 0) continue
             bin.free -= spec.need * fit
@@ -335,14 +350,15 @@
                 val fit = minOf(missing, slots)
                 bin.free -= spec.need * fit
                 missing -= fit
+                open.add(bin)
                 bins.add(bin)
             }
         }
     }
 
-    private fun allowed(spec: JobSpec, type: MachineType, zone: String, spot: Boolean): Boolean =
-        (spec.spot || !spot) && (spec.zone == null || spec.zone == zone) &&
-            Placer.usefulTypes(spec, types.values).any { it.name == type.name }
+    /** [useful] are the types worth using for the job, worked out once for all machines. */
+    private fun allowed(spec: JobSpec, useful: List<MachineType>, bin: Bin): Boolean =
+        (spec.spot || !bin.spot) && (spec.zone == null || spec.zone == bin.zone) && useful.any { it.name == bin.type.name }
 
     private fun bestMarket(spec: JobSpec, missing: Int, now: Instant): Triple<MachineType, String, Boolean>? {
         var best: Triple<MachineType, String, Boolean>? = null
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -13,6 +13,10 @@
 /** What is known of one machine. Its type is unknown while only a log names it. */
 class Machine(val id: MachineId, val knownSince: Instant) {
     var type: MachineType? = null
+        set(value) {
+            field = value
+            free = (value?.size ?: Resources.NONE) - used
+        }
     var zone: String = ""
     var spot: Boolean = false
     var endpoint: Endpoint? = null
@@ -63,13 +67,18 @@
 
     val attempts = LinkedHashMap<TaskRef, Attempt>()
     var used = Resources.NONE
+        private set(value) {
+            field = value
+            free = (type?.size ?: Resources.NONE) - value
+        }
+
+    /** What is left; kept, since each round asks it of every machine. */
+    var free = Resources.NONE
         private set
 
     /** Images it has fetched, most recent last. */
     val images = LinkedHashSet<String>()
 
-    val free: Resources get() = (type?.size ?: Resources.NONE) - used
-
     /** What it is, from whoever tells first: a report, a list or the answer to a rental. */
     fun describe(type: MachineType?, zone: String, spot: Boolean) {
         if (this.type != null) return
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/core/placement/Openings.kt
@@ -0,0 +1,97 @@
+package dewwing.control.core.placement
+
+import dewwing.control.core.Effort
+import dewwing.control.core.fleet.Machine
+import dewwing.control.core.job.Job
+import dewwing.protocol.JobSpec
+import dewwing.protocol.MachineType
+import dewwing.protocol.Resources
+import dewwing.protocol.Urgency
+
+/**
+ * The machines of one round that take new work, by type, zone and kind: a job looks only at those it may use, and at
+ * none that is too full for any job that waits. Without it every waiting job looked at every machine in every round,
+ * which at a thousand machines and a hundred jobs is more than a small processor share holds.
+ */
+class Openings(machines: Collection<Machine>, waiting: Collection<Job>, private val effort: Effort) {
+    private class Group(val type: MachineType, val zone: String, val spot: Boolean) {
+        val all = ArrayList<Machine>()
+        var roomy: List<Machine> = emptyList()
+        val stoppable = HashMap<Urgency, List<Machine>>()
+
+        /** Nearest to free first, for [reserve]; those before [reservedTo] are spoken for. */
+        val nearestFree: List<Machine> by lazy(LazyThreadSafetyMode.NONE) { all.sortedBy { it.attempts.size } }
+        var reservedTo = 0
+
+        fun allows(spec: JobSpec): Boolean =
+            Placer.typeAllowed(spec, type) && (spec.zone == null || spec.zone == zone) && (spec.spot || !spot)
+    }
+
+    private val groups = ArrayList<Group>()
+    private val reserved = HashSet<Machine>()
+    private val roomySet by lazy(LazyThreadSafetyMode.NONE) { groups.flatMapTo(HashSet()) { it.roomy } }
+
+    init {
+        for (m in machines) {
+            val type = m.type ?: continue
+            val group = groups.firstOrNull { it.type.name == type.name && it.spot == m.spot && it.zone == m.zone }
+                ?: Group(type, m.zone, m.spot).also(groups::add)
+            group.all.add(m)
+        }
+        effort.look(machines.size)
+        for (group in groups) {
+            var least: Resources? = null
+            for (job in waiting) if (group.allows(job.spec)) least = least?.let { job.spec.need.least(it) } ?: job.spec.need
+            group.roomy = least?.let { need -> group.all.filter { it.free.holds(need) } } ?: emptyList()
+        }
+        effort.look(groups.size * waiting.size)
+    }
+
+    /** Machines of [types], or of any type that [job] may use, that can hold one of its tasks now. */
+    fun roomFor(job: Job, types: Set<String>?, also: (Machine) -> Boolean = { true }): List<Machine> {
+        val out = ArrayList<Machine>()
+        for (group in groups) {
+            if (types != null && group.type.name !in types || !group.allows(job.spec)) continue
+            effort.look(group.roomy.size)
+            for (m in group.roomy) {
+                if (!m.free.holds(job.spec.need) || !open(m, job) || job.failedOn.isNotEmpty() && m.id.value in job.failedOn) continue
+                if (also(m)) out.add(m)
+            }
+        }
+        return out
+    }
+
+    /** Machines that [job] may use where it finds room, or tasks that may be stopped for it. */
+    fun stoppableFor(job: Job, preemption: Preemption): List<Machine> {
+        val out = ArrayList<Machine>()
+        for (group in groups) {
+            if (!group.allows(job.spec)) continue
+            val some = group.stoppable.getOrPut(job.spec.urgency) {
+                effort.look(group.all.size)
+                group.all.filter { m -> m in roomySet || m.attempts.values.any { preemption.mayStop(it, job.spec.urgency) } }
+            }
+            effort.look(some.size)
+            for (m in some) if (open(m, job)) out.add(m)
+        }
+        return out
+    }
+
+    /** Those with accelerators, whoever may use them. */
+    fun withAccelerators(): List<Machine> =
+        groups.filter { it.type.size.accelerators > 0 }.flatMap { g -> g.all.filter { it !in reserved } }
+
+    /** Keeps the machines nearest to free that [job], a gang, would take from every job asked about later in this round. */
+    fun reserve(job: Job) {
+        var missing = job.spec.tasks
+        while (missing > 0) {
+            val group = groups.filter { it.allows(job.spec) && it.reservedTo < it.nearestFree.size }
+                .minByOrNull { it.nearestFree[it.reservedTo].attempts.size } ?: return
+            effort.look(1)
+            val m = group.nearestFree[group.reservedTo++]
+            if (!open(m, job) || !reserved.add(m)) continue
+            missing -= group.type.size.slots(job.spec.need)
+        }
+    }
+
+    private fun open(m: Machine, job: Job) = (m.keptFor == null || m.keptFor === job) && (reserved.isEmpty() || m !in reserved)
+}
--- a/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
@@ -8,6 +8,7 @@
 import dewwing.protocol.JobShape
 import dewwing.protocol.JobSpec
 import dewwing.protocol.MachineType
+import dewwing.protocol.Urgency
 
 /** A machine with the tasks to be stopped there, the places that gives, and the work it costs. */
 class Room(val machine: Machine, val victims: List<Attempt>, val slots: Int, val costS: Double)
@@ -17,11 +18,11 @@
  * where the least work is lost and the image is at hand.
  */
 class Preemption(private val quota: Quota, private val fetchS: (JobSpec, MachineType) -> Double) {
-    /** Rooms that together hold the job, or none. */
-    fun plan(spec: JobSpec, usable: List<Machine>, now: Instant): List<Room> {
+    /** Rooms that together hold the job, or none; [allowed] are the machines it may use. */
+    fun plan(spec: JobSpec, allowed: List<Machine>, now: Instant): List<Room> {
         val wanted = if (spec.shape == JobShape.GANG) spec.tasks else minOf(spec.tasks, quota.room(spec))
         if (wanted <= 0 || quota.room(spec) < wanted) return emptyList()
-        val rooms = usable.filter { it.keptFor == null && Placer.machineAllowed(spec, it) }.mapNotNull { roomOn(it, spec, now) }
+        val rooms = allowed.filter { it.keptFor == null }.mapNotNull { roomOn(it, spec, now) }
         val zones = if (spec.oneZone) rooms.groupBy { it.machine.zone }.values else listOf(rooms)
         return zones.mapNotNull { zone ->
             val chosen = ArrayList<Room>()
@@ -35,6 +36,10 @@
         }.minByOrNull { rooms -> rooms.sumOf { it.costS } } ?: emptyList()
     }
 
+    /** Whether [a] may make way for work of [urgency]. */
+    fun mayStop(a: Attempt, urgency: Urgency): Boolean =
+        a.job.spec.urgency > urgency && !a.job.isGang && a.killGraceS == null && a.phase != AttemptPhase.LOGGING
+
     /** The cheapest tasks of lower priority to stop on [m] so that at least one task of [spec] fits. */
     private fun roomOn(m: Machine, spec: JobSpec, now: Instant): Room? {
         val type = m.type ?: return null
@@ -42,7 +47,7 @@
         var free = m.free
         var cost = if (spec.image in m.images) 0.0 else fetchS(spec, type)
         val candidates = m.attempts.values
-            .filter { it.job.spec.urgency > spec.urgency && !it.job.isGang && it.killGraceS == null && it.phase != AttemptPhase.LOGGING }
+            .filter { mayStop(it, spec.urgency) }
             .sortedBy { harmS(it, now) }
         for (a in candidates) {
             if (free.holds(spec.need)) break
--- a/src/main/kotlin/dewwing/control/http/HttpServer.kt
+++ b/src/main/kotlin/dewwing/control/http/HttpServer.kt
@@ -204,7 +204,7 @@
     }
 
     companion object {
-        private const val BACKLOG = 256
+        private const val BACKLOG = 2_048
         private const val ACCEPT_PAUSE_MS = 100L
         private const val BIND_PAUSE_MS = 200L
         private val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".toByteArray()
--- a/src/main/kotlin/dewwing/protocol/Model.kt
+++ b/src/main/kotlin/dewwing/protocol/Model.kt
@@ -22,6 +22,10 @@
 
     operator fun times(n: Int) = Resources(cores * n, accelerators * n, memoryGb * n)
 
+    /** The smaller of each. */
+    fun least(o: Resources) =
+        Resources(minOf(cores, o.cores), minOf(accelerators, o.accelerators), minOf(memoryGb, o.memoryGb))
+
     /** How many of [task] fit in here together. */
     fun slots(task: Resources): Int {
         var n = Int.MAX_VALUE
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -126,6 +126,24 @@
         assertEquals(1, scheduler.counts(JobRef("job-1"))?.running)
     }
 
+    /** Guards against a slow rebuild: reports answered meanwhile keep leases alive longer than older leaders' answers. */
+    @Test
+    fun `a machine answered while the picture was rebuilt keeps its tasks for a lease from then`() {
+        val s = Scheduler(settings, term, Revision(50), Instant(0), 0).also { it.onTypes(listOf(type)) }
+        val job = spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half)
+        s.restoreJob(job.ref, JobRecord(JobStage.QUEUED, job, 0), Revision(1))
+        s.restoreLog("log/job-1/000000007", LogRecord(listOf(LogRecord.Placed(MachineId("m-9"), BitSet().apply { set(0) })), BitSet()))
+        s.restored(Instant(10_000))
+        fun placesAt(ms: Long): Boolean {
+            val r = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, Position(1, ms), term, null, emptyList())
+            s.onReport(r, Instant(ms))
+            return s.round(Instant(ms)) { true }.any { e -> e is Effect.Write && e.change.puts.any { it.first.startsWith("log/") } }
+        }
+        assertFalse(placesAt(14_000))
+        assertFalse(placesAt(20_100))
+        assertTrue(placesAt(20_400))
+    }
+
     @Test
     fun `what an older leader may have started is not started again until the worker answers to us without it`() {
         val s = Scheduler(settings, term, Revision(50), Instant(0), 0).also { it.onTypes(listOf(type)) }
