Times follow the settings: hearing, silence and what is kept while silent; users' share of the request rate

Cause (reading, then tests over generated settings): with reports every 4 s a sound machine passed for hearing us only if its next message came in under 4 s, so half of them did not, and one back from a cut could be returned while it was sound. The next message of a stream that comes straight to us is the sign, within the longest interval of a report. Silent for placing is one report interval and a quarter, not two. Users' requests have their own part of the state service's rate, refused at once beyond it, so that a crowd cannot cost the leader its hold. Followers of many siblings ask for words every 1.5 s: they cost more processor time than the leader.

--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -23,7 +23,9 @@
 import dewwing.protocol.MalformedException
 import dewwing.protocol.Pack
 import dewwing.protocol.Revision
+import dewwing.protocol.Span
 import dewwing.protocol.Wire
+import kotlinx.coroutines.delay
 
 /** What the user API needs of the controller round it. */
 interface ApiHost {
@@ -50,6 +52,8 @@
     private val quota: Quota,
     private val host: ApiHost,
     private val changes: TokenBucket,
+    /** Kept apart from the leader's requests: a crowd of users must not cost it its hold. */
+    private val requests: TokenBucket,
     private val maxValueBytes: Int,
 ) {
     private val finals: Cache<String, JobStage> = Caffeine.newBuilder().maximumSize(FINALS_KEPT)
@@ -88,6 +92,7 @@
             if (!relayed && host.cutOffAlone) host.relay(request)?.let { return it }
             // Nobody else to ask, and waiting once more for what does not answer would only cost the user time.
             if (state.givenUp) return HttpAnswer.error(503, "the state service cannot be reached", RETRY_S)
+            if (!admitted()) return HttpAnswer.error(429, "too many", RETRY_S)
             return block()
         } catch (e: StateUnavailableException) {
             val other = if (relayed) null else host.relay(request)
@@ -97,6 +102,15 @@
         }
     }
 
+    /** Waits a moment for the request rate; what would wait longer is told to come back. */
+    private suspend fun admitted(): Boolean {
+        if (requests.tryTake(host.now(), 1.0)) return true
+        val wait = requests.untilAvailable(host.now(), 1.0)
+        if (wait > MAX_ADMISSION_WAIT) return false
+        delay(wait.ms.coerceAtLeast(1))
+        return requests.tryTake(host.now(), 1.0)
+    }
+
     private suspend fun submit(body: ByteArray): HttpAnswer {
         val fields: Fields
         try {
@@ -191,6 +205,7 @@
         private const val CANCEL = "/cancel"
         private const val CANCEL_TRIES = 3
         private const val RETRY_S = 1
+        private val MAX_ADMISSION_WAIT = Span(300)
         private const val MAX_IN_FLIGHT = 200
         private const val FINALS_KEPT = 20_000L
     }
--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -63,10 +63,13 @@
     private val log = LoggerFactory.getLogger("controller")
     private val nodes = settings.siblings.size + 1
 
+    /** This controller's part of the state service's request rate. */
+    private val requestsPerS = settings.stateLimits.requestsPerS * REQUEST_SHARE / nodes
+
     private val state = StateClient(
         http = HttpClient(selector, settings.state, maxIdle = 8),
         watches = HttpClient(selector, settings.state, maxIdle = 1),
-        requests = TokenBucket(settings.stateLimits.requestsPerS * REQUEST_SHARE / nodes, settings.stateLimits.requestsPerS * REQUEST_SHARE / nodes),
+        requests = TokenBucket(requestsPerS, requestsPerS),
         clock = ::now,
         onOutcome = { call, outcome -> metrics.called("state", call, outcome) },
     )
@@ -114,6 +117,7 @@
             quota = Quota(settings.teams),
             host = this,
             changes = TokenBucket(intakePerS, maxOf(INTAKE_BURST, intakePerS)),
+            requests = TokenBucket(requestsPerS * USERS_SHARE, requestsPerS * USERS_SHARE),
             maxValueBytes = settings.stateLimits.valueBytes - VALUE_SLACK,
         )
         metrics.gauge("dewwing.term", "Highest term known") { leadership.highestTerm.value }
@@ -233,7 +237,10 @@
             } catch (e: IOException) {
                 log.debug("no word from {}: {}", name, e.message)
             }
-            delay(WORD_EVERY_MS)
+            // The leader's outage rule rests on fresh words; for the rest, seven controllers asking each other twice a
+            // second cost more processor time than all else that followers do.
+            val eager = leading != null || state.failing || peers.size <= FEW_SIBLINGS
+            delay(if (eager) WORD_EVERY_MS else IDLE_WORD_EVERY_MS)
         }
     }
 
@@ -421,6 +428,7 @@
             workers = workers,
             core = CoreSettings(
                 settings.teams, settings.objectives, settings.workers, settings.stateLimits, settings.cloudLimits, tunables,
+                hasSiblings = peers.isNotEmpty(),
             ),
             options = options,
             metrics = metrics,
@@ -445,6 +453,9 @@
 
     companion object {
         private const val REQUEST_SHARE = 0.9
+
+        /** Users' part of that; the rest is for renewing the hold and for the leader's work. */
+        private const val USERS_SHARE = 0.7
         private const val CLOUD_SHARE = 0.8
         private const val INTAKE_SHARE = 0.8
         private const val INTAKE_BURST = 6.0
@@ -452,6 +463,8 @@
         private const val HOLD_MARGIN_MS = 250L
         private const val WORD_AGE_MS = 2_500L
         private const val WORD_EVERY_MS = 500L
+        private const val IDLE_WORD_EVERY_MS = 1_500L
+        private const val FEW_SIBLINGS = 2
         private const val WORD_TIMEOUT_MS = 1_000L
         private const val RELAY_WORD_MS = 3_000L
         private const val RELAY_MS = 1_800L
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -90,7 +90,16 @@
     private val leaseSpan = Span((settings.workers.lease.ms * LEASE_DRIFT).toLong() + LEASE_SLACK_MS)
 
     /** A worker that has not reported for so long is not counted on for new work. */
-    private val silenceSpan = settings.workers.report * SILENT_REPORTS + Span(SILENT_SLACK_MS)
+    private val silenceSpan = settings.workers.report * REPORT_SPREAD + Span(SILENT_SLACK_MS)
+
+    /**
+     * A worker whose next message comes to us within this time has heard our last answer. One that has not turns to
+     * another controller after 4 s and a second's pause, so with siblings its next message does not come here at all;
+     * alone, it cannot come sooner than that. A fixed 4 s took half of all sound workers that report every 4 s for
+     * deaf, and returned machines that had just come back from a cut.
+     */
+    private val hearsWithin =
+        if (settings.hasSiblings) maxOf(ANSWER_WAIT, settings.workers.report * REPORT_SPREAD + Span(HEARING_SLACK_MS)) else ANSWER_WAIT
 
     private var ranked: List<Job>? = null
     private var resumeAfter: JobRef? = null
@@ -264,7 +273,7 @@
             return
         }
         val next = report.position.session == m.position.session && report.position.seq == m.position.seq + 1
-        if (next && now - m.heardAt < ANSWER_WAIT) {
+        if (next && now - m.heardAt < hearsWithin) {
             if (m.deafSince != null) log.info("machine {} hears us again", m.id)
             m.deafSince = null
         } else if (report.position.session > m.position.session) {
@@ -928,8 +937,10 @@
 
         /** Past every message a machine can send: it was returned and will say nothing new. */
         private val LAST_POSITION = Position(Long.MAX_VALUE, Long.MAX_VALUE)
-        private const val SILENT_REPORTS = 2.0
-        private const val SILENT_SLACK_MS = 1_000L
+        /** A report comes every interval, give or take a quarter. */
+        private const val REPORT_SPREAD = 1.25
+        private const val SILENT_SLACK_MS = 1_500L
+        private const val HEARING_SLACK_MS = 500L
         private const val MAX_COMMANDS = 400
         private const val MAX_WAITS = 10_000
         private const val MAX_WAITING_LOOKS = 200
--- a/src/main/kotlin/dewwing/control/core/Tunables.kt
+++ b/src/main/kotlin/dewwing/control/core/Tunables.kt
@@ -31,4 +31,6 @@
     val state: StateLimits,
     val cloud: CloudLimits,
     val tunables: Tunables = Tunables(),
+    /** There are other controllers that a worker can turn to. */
+    val hasSiblings: Boolean = true,
 )
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -52,6 +52,9 @@
     private var nextRental = 1L
     private var planAt = Instant.NEVER
 
+    /** A machine that is silent, or does not hear us, is returned after so long. */
+    private val silentKeep = maxOf(SILENT_KEEP, settings.workers.report * SILENT_REPORTS)
+
     // ---- events ----------------------------------------------------------------------------------------------
 
     fun restoreRent(key: String, record: RentRecord, now: Instant) {
@@ -435,10 +438,10 @@
             m.listedFailed -> "it failed"
             m.faulty -> "it is faulty"
             m.noticeAt != null -> "the cloud takes it back"
-            m.deafSince?.let { now - it > SILENT_KEEP } == true -> "it does not hear us"
+            m.deafSince?.let { now - it > silentKeep } == true -> "it does not hear us"
             m.up -> if (!claimed && now - m.idleSince > tunables.idleKeep) "it is idle" else null
-            lapsed != null -> if (now - lapsed > SILENT_KEEP) "it is silent" else null
-            (now - m.rentedAt).seconds > boot * GIVE_UP_START + LEEWAY_S && now - m.knownSince > SILENT_KEEP ->
+            lapsed != null -> if (now - lapsed > silentKeep) "it is silent" else null
+            (now - m.rentedAt).seconds > boot * GIVE_UP_START + LEEWAY_S && now - m.knownSince > silentKeep ->
                 "it does not come up"
             else -> null
         }
@@ -474,6 +477,9 @@
         private const val HORIZON_SHARE = 0.65
         private val PLAN_EVERY = Span(1_000)
         private val SILENT_KEEP = Span(15_000)
+
+        /** Reports within which a machine shows that it is sound again. */
+        private const val SILENT_REPORTS = 4.0
         private val SPOT_FIRST = listOf(true, false)
         private val ORDINARY = listOf(false)
     }
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.net.ServerSocket
 
@@ -87,7 +88,7 @@
         "settleS" to 0.0, "dueS" to null,
     ).apply { putAll(change) }
 
-    private fun withApi(block: suspend (UserApi, StandIn, Host) -> Unit) = runBlocking {
+    private fun withApi(requests: Double = 10_000.0, block: suspend (UserApi, StandIn, Host) -> Unit) = runBlocking {
         val port = ServerSocket(0).use { it.localPort }
         val endpoint = Endpoint("127.0.0.1", port)
         ActorSelectorManager(Dispatchers.IO).use { selector ->
@@ -101,7 +102,7 @@
             val plenty = TokenBucket(10_000.0, 10_000.0)
             val http = HttpClient(selector, endpoint, 2)
             val state = StateClient(http, http, plenty, clock) { _, _ -> }
-            block(UserApi(state, Quota(listOf(Team("t", 0.0, 16.0, 0.0, null))), host, TokenBucket(0.001, 6.0), 4_000), standIn, host)
+            block(UserApi(state, Quota(listOf(Team("t", 0.0, 16.0, 0.0, null))), host, TokenBucket(0.001, 6.0), TokenBucket(0.001, requests), 4_000), standIn, host)
             server.cancel()
             coroutineContext.cancelChildren()
         }
@@ -142,6 +143,14 @@
         assertEquals(503, api.post(Wire.JOBS, job("job-2")).status)
     }
 
+    /** Guards against a crowd of users that takes the requests with which the leader renews its hold. */
+    @Test
+    fun `more requests than users' share of the rate are told at once to come back`() = withApi(requests = 3.0) { api, _, _ ->
+        val answers = List(5) { api.get("/api/jobs/job-1") }
+        assertEquals(listOf(404, 404, 404, 429, 429), answers.map { it.status })
+        assertTrue(answers.drop(3).all { it.retryAfterS == 1 })
+    }
+
     @Test
     fun `an outage is told at once with a time to come back, and never as 404`() = withApi { api, standIn, _ ->
         assertEquals(201, api.post(Wire.JOBS, job()).status)
