--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -686,7 +686,7 @@
     private fun placeOverflow(b: Batch, room: Int, order: List<Job>, openings: Openings, now: Instant) {
         val late = order.filter { job ->
             job in waitingJobs && !job.isGang && job.spec.need.accelerators <= 0 && now >= job.notBefore &&
-                (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0 >= fleet.horizonS(job.spec.jobClass) * OVERFLOW_AFTER
+                (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0 >= fleet.horizonS(job.spec.jobClass, job.spec.estimateS) * OVERFLOW_AFTER
         }
         if (late.isEmpty()) return
         val idle = openings.withAccelerators().filter { m ->
@@ -868,9 +868,10 @@
 
     /**
      * Guaranteed jobs first, then by priority, then by when they are to start at the latest: age plus the class's aim.
-     * By age alone, gangs that are to start within seconds wait for the change rate behind every older array. A class of which a job has waited for [AGED] without a
-     * single start goes before all others with that job and what is older of it, or large jobs of low rank would never
-     * begin in a long burst; the older ones go along, since passing them would only make all of them late.
+     * By age alone, gangs that are to start within seconds wait for the change rate behind every older array. A class
+     * of which a job has waited for [AGED] without a single start goes before all others with that job and what is
+     * older of it, or large jobs of low rank would never begin in a long burst; the older ones go along, since passing
+     * them would only make all of them late.
      */
     private fun ranking(now: Instant): List<Job> {
         ranked?.let { if (now - rankedAt < RANK_EVERY) return it }
@@ -886,7 +887,7 @@
         val order = inOrder.sortedWith(
             compareBy(
                 { if (it in aged) 0 else 1 }, { if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal },
-                { it.submittedAtMs + (fleet.startDueS(it.spec.jobClass) * 1000).toLong() },
+                { it.submittedAtMs + (fleet.startDueS(it.spec) * 1000).toLong() },
             ),
         )
         ranked = order
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -268,7 +268,7 @@
             }
         }
         for ((jobClass, list) in arrays) {
-            val horizon = horizonS(jobClass)
+            val horizon = horizonS(jobClass, list.sumOf { it.spec.estimateS } / list.size)
             var work = 0.0
             var places = 0.0
             var live = 0
@@ -290,8 +290,13 @@
         return out
     }
 
-    fun horizonS(jobClass: String): Double {
-        val within = settings.objectives.filter { it.jobClass == jobClass }.minOfOrNull { it.withinS } ?: DEFAULT_HORIZON_S
+    /**
+     * Time from submission within which the class's work is to be done. An aim for starts is met once the last task
+     * has begun, so its run comes on top: taken as an aim for the end it rents half as many machines again as needed.
+     */
+    fun horizonS(jobClass: String, runS: Double): Double {
+        val within = settings.objectives.filter { it.jobClass == jobClass }
+            .minOfOrNull { if (it.kind == ObjectiveKind.WAIT) it.withinS + runS else it.withinS } ?: DEFAULT_HORIZON_S
         return within * HORIZON_SHARE
     }
 
@@ -306,8 +311,8 @@
     private fun startAimS(jobClass: String): Double? =
         settings.objectives.filter { it.kind == ObjectiveKind.WAIT && it.jobClass == jobClass }.minOfOrNull { it.withinS }
 
-    /** Time from submission within which a job of the class is to start, as far as its aims tell. */
-    fun startDueS(jobClass: String): Double = startAimS(jobClass) ?: horizonS(jobClass)
+    /** Time from submission within which a job is to start, as far as its aims tell. */
+    fun startDueS(spec: JobSpec): Double = startAimS(spec.jobClass) ?: horizonS(spec.jobClass, spec.estimateS)
 
     /** A start that has to fetch the image would most likely come too late, since fetches may be a third slower. */
     fun fetchMissesStart(spec: JobSpec): Boolean {
