--- a/src/test/kotlin/dewwing/world/HistoriesTest.kt
+++ b/src/test/kotlin/dewwing/world/HistoriesTest.kt
@@ -46,6 +46,23 @@
         }
     }
 
+    /** Guards the gangs of a large fleet, and the leases that a leader renews before it has read who holds what. */
+    @Test
+    fun `hundreds of machines cut, hung or dead at once while controllers restart break no rule and lose no job`() {
+        for (seed in 300L..303L) {
+            val trouble = Trouble(
+                crashEveryMs = 20_000, cutEveryMs = 4_000, hangEveryMs = 8_000, takeEveryMs = 10_000, errorShare = 0.002,
+                lateCopy = 0.2, backMs = 1, massEveryMs = 30_000, rollEveryMs = 45_000, rebuildMs = 8_000,
+            )
+            val world = World(seed, trouble, cap = 1_200.0, largest = 60)
+            val open = world.play(160, 150_000)
+            assertTrue(world.most >= 150, "seed $seed: only ${world.most} machines")
+            assertEquals(emptyList<String>(), world.rules.broken, "seed $seed")
+            assertEquals(emptyList<Any>(), open, "seed $seed")
+            assertEquals(emptyList<String>(), world.rules.served(), "seed $seed")
+        }
+    }
+
     private fun caught(tamper: World.Tamper, rule: String, trouble: Trouble = Trouble(crashEveryMs = 6_000)) {
         val found = (1L..12L).any { seed ->
             val world = World(seed, trouble, tamper)
@@ -61,6 +78,10 @@
     @Test
     fun `a leader that gives leases up too early is caught`() = caught(World.Tamper.LAPSE_AT_ONCE, "ran_twice")
 
+    @Test
+    fun `a leader that forgets which leases it renewed before it had read its books is caught`() =
+        caught(World.Tamper.OLD_BOOKS, "ran_twice", Trouble(crashEveryMs = 25_000, massEveryMs = 6_000, rebuildMs = 14_000))
+
     @Test
     fun `a leader that ignores cancellations is caught`() =
         caught(World.Tamper.IGNORE_CANCEL, "ran_cancelled", Trouble(crashEveryMs = 60_000, cutEveryMs = 600_000))
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -176,7 +176,17 @@
     val loneEveryMs: Long = 30_000,
     /** Least time after which a crashed controller is back. */
     val backMs: Long = 50,
-)
+    /** A third of all machines at once is cut, hangs or dies. */
+    val massEveryMs: Long = NEVER,
+    /** All controllers are restarted one after the other. */
+    val rollEveryMs: Long = NEVER,
+    /** The longest time that a new leader takes to read the state service; it answers reports meanwhile. */
+    val rebuildMs: Long = 0,
+) {
+    companion object {
+        const val NEVER = Long.MAX_VALUE / 64
+    }
+}
 
 /**
  * The state service, the cloud, the workers and controllers' lives in virtual time, written from the protocol.
@@ -185,21 +195,28 @@
  * workers are cut off, hang, lapse and start new sessions. [tamper] lets a test break the scheduler on purpose, to
  * show that the rules catch it.
  */
-class World(seed: Long, private val trouble: Trouble, private val tamper: Tamper = Tamper.NONE) {
-    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE, NO_ANSWERS, STARVE_LARGE, LEAD_ALONE }
+class World(
+    seed: Long,
+    private val trouble: Trouble,
+    private val tamper: Tamper = Tamper.NONE,
+    /** The team's limit; with [largest], the most tasks of an array, it decides how many machines there are. */
+    private val cap: Double = 24.0,
+    private val largest: Int = 12,
+) {
+    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE, NO_ANSWERS, STARVE_LARGE, LEAD_ALONE, OLD_BOOKS }
 
     private val random = Random(seed)
     private val events = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
     var now = 0L
         private set
 
-    private val team = Team("t", 0.0, CAP, 0.0, null)
+    private val team = Team("t", 0.0, cap, 0.0, null)
     private val workersTimes = WorkerTimes(Span(2_000), Span(LEASE_MS), Span(30_000), Span(6_000), Span(CANCEL_MS))
     private val types = listOf(
         MachineType("big", Resources(8.0, 0.0, 64.0), 10.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b")),
         MachineType("small", Resources(2.0, 0.0, 16.0), 10.0, 1.0, 0.3, 0.1, 3.0, listOf("a", "b")),
     )
-    val rules = Rules(mapOf("t" to CAP), CANCEL_MS)
+    val rules = Rules(mapOf("t" to cap), CANCEL_MS)
 
     // ---- state service ----
     private val store = sortedMapOf<String, Pair<Map<String, Any?>, Long>>()
@@ -300,7 +317,7 @@
             h.stage = TaskStage.RUNNING
             h.on = true
             rules.starts(h.task, id, type.name, zone, spot, now)
-            val run = if (tamper == Tamper.IGNORE_CANCEL || random.nextInt(12) == 0) random.nextLong(40_000, 60_000) else random.nextLong(500, 9_000)
+            val run = if (tamper == Tamper.IGNORE_CANCEL || tamper == Tamper.OLD_BOOKS || random.nextInt(12) == 0) random.nextLong(40_000, 60_000) else random.nextLong(500, 9_000)
             after(run) { finish(h, spec) }
         }
 
@@ -422,7 +439,11 @@
         /** Until then neither the state service nor a sibling is reached. */
         var loneUntil = 0L
 
+        /** Elected, but still reading. */
+        var rebuilding = false
+
         fun answer(r: Report): Pair<Long, List<Command>>? {
+            if (rebuilding && now < validUntil && r.term.value <= term) return term to emptyList()
             val s = scheduler ?: return null
             if (now >= validUntil || r.term.value > term && tamper != Tamper.LEAD_ALONE) return null
             s.onReport(r, instant())
@@ -436,7 +457,7 @@
             if (now < loneUntil) {
                 // No renewal, no election, no change; its workers it still answers, for as long as it thinks it may.
                 if (tamper == Tamper.LEAD_ALONE) validUntil = now + HOLD_MS
-            } else if (holder == n && holdUntil > now && scheduler != null) {
+            } else if (holder == n && holdUntil > now && (scheduler != null || rebuilding)) {
                 if (random.nextDouble() < 0.97) {
                     holdUntil = now + HOLD_MS
                     validUntil = now + HOLD_MS - 250
@@ -445,12 +466,13 @@
                 if (now < validUntil) for (e in s?.round(instant()) { true } ?: emptyList()) carryOut(e, myLife)
             } else {
                 scheduler = null
-                if (holdUntil <= now) elect()
+                rebuilding = false
+                if (holdUntil <= now) elect(myLife)
             }
             after(random.nextLong(150, 400)) { live(myLife) }
         }
 
-        private fun elect() {
+        private fun elect(myLife: Int) {
             val seen = store[Keys.TERM]
             val t = ((seen?.first?.get("n") as? Long) ?: 0L) + 1
             commit(StateChange(listOf(Keys.TERM to Revision(seen?.second ?: 0L)), listOf(Keys.TERM to mapOf("n" to t))))
@@ -458,7 +480,7 @@
             holdUntil = now + HOLD_MS
             validUntil = now + HOLD_MS - 250
             term = t
-            val cap = if (tamper == Tamper.NO_QUOTA) null else CAP
+            val cap = if (tamper == Tamper.NO_QUOTA) null else cap
             val lease = if (tamper == Tamper.LAPSE_AT_ONCE) Span(2_000) else workersTimes.lease
             val core = CoreSettings(
                 listOf(team.copy(coresMax = cap)),
@@ -467,6 +489,20 @@
             )
             val s = Scheduler(core, Term(t), Revision(store.getValue(Keys.TERM).second), instant(), 0)
             s.onTypes(types)
+            if (trouble.rebuildMs == 0L) {
+                read(s)
+                return
+            }
+            rebuilding = true
+            val electedAt = instant()
+            after(random.nextLong(1, trouble.rebuildMs)) {
+                if (life != myLife || !rebuilding || term != t) return@after
+                rebuilding = false
+                read(s, if (tamper == Tamper.OLD_BOOKS) electedAt else instant())
+            }
+        }
+
+        private fun read(s: Scheduler, at: Instant = instant()) {
             for ((k, v) in store) {
                 when {
                     k.startsWith(Keys.JOBS) -> {
@@ -480,7 +516,7 @@
                     k.startsWith(Keys.RELEASES) -> s.restoreRelease(k, ReleaseRecord.of(k, decoded(v.first)))
                 }
             }
-            s.restored(instant())
+            s.restored(at)
             scheduler = s
         }
 
@@ -535,6 +571,7 @@
         fun crash() {
             life++
             scheduler = null
+            rebuilding = false
             validUntil = 0
             val mine = life
             after(random.nextLong(trouble.backMs, 4_000)) { live(mine) }
@@ -555,12 +592,12 @@
         val gang = random.nextInt(4) == 0
         val spec = JobSpec(
             JobRef("job-%06d".format(i)), if (gang) "gangs" else "c", "t", if (gang) JobShape.GANG else JobShape.ARRAY,
-            Urgency.entries.random(random), if (gang) random.nextInt(1, 5) else random.nextInt(1, 12),
+            Urgency.entries.random(random), if (gang) random.nextInt(1, 5) else random.nextInt(1, largest),
             Resources(random.nextInt(1, 3).toDouble(), 0.0, 1.0), "i${random.nextInt(3)}", 1.0,
             if (random.nextInt(3) == 0) listOf("big") else null, if (random.nextInt(4) == 0) "a" else null,
             random.nextInt(3) == 0, false, random.nextBoolean(), 5.0, 0.0, 0.0, null,
         )
-        if (spec.unit.cores > CAP) return
+        if (spec.unit.cores > cap) return
         specs[spec.ref] = spec
         rules.accepted(spec, now)
         submitted.add(spec.ref)
@@ -613,7 +650,23 @@
         every(trouble.deafEveryMs) { if (troubled) up().randomOrNull(random)?.let { it.deafUntil = now + random.nextLong(5_000, 60_000) } }
         every(trouble.loneEveryMs) { if (troubled) controllers.random(random).let { it.loneUntil = now + random.nextLong(1_000, 25_000) } }
         every(trouble.takeEveryMs) { if (troubled) up().randomOrNull(random)?.take() }
-        every(100) { up().forEach { it.checkLease() } }
+        every(trouble.massEveryMs) {
+            if (!troubled) return@every
+            val until = now + random.nextLong(5_000, 50_000)
+            val kind = random.nextInt(3)
+            for (w in up().shuffled(random).take(up().size / 3)) {
+                when (kind) {
+                    0 -> w.cutUntil = until
+                    1 -> w.hungUntil = until
+                    else -> w.take()
+                }
+            }
+        }
+        every(trouble.rollEveryMs) { if (troubled) controllers.forEachIndexed { i, c -> after(i * 4_000L) { c.crash() } } }
+        every(100) {
+            most = maxOf(most, up().size)
+            up().forEach { it.checkLease() }
+        }
         every(1_000) { rules.check(now) }
         every(4_000) {
             val list = workers.values.filter { !it.gone }.map {
@@ -635,11 +688,14 @@
         return submitted.filter { ref -> store[Keys.job(ref)]?.let { !JobRecord.of(decoded(it.first)).isFinal } ?: true }
     }
 
+    /** The most machines at once. */
+    var most = 0
+        private set
+
     /** Keys left under [prefix], for the collector's tests. */
     fun keys(prefix: String): Int = store.keys.count { it.startsWith(prefix) }
 
     companion object {
-        const val CAP = 24.0
         const val LEASE_MS = 10_000L
         const val CANCEL_MS = 35_000L
         private const val HOLD_MS = 2_500L
