A new leader orders machines only once it has read the list, and counts those yet to report

The design has a new leader rebuild its picture first; that now holds for the fleet too: no plan before the cloud's first list, and listed machines count for the time in which every sound one reports (a longest interval and 5 s).

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -79,7 +79,7 @@
     private val gcQueue = ArrayDeque<Pair<Instant, String>>()
     private var batch: Batch? = null
     private val effects = ArrayList<Effect>()
-    private val fleet = Fleet(settings, term, machines, types, quota, effort)
+    private val fleet = Fleet(settings, term, machines, types, quota, effort, startedAt)
     private val preemption = Preemption(quota, fleet::fetchS)
 
     /**
@@ -438,6 +438,7 @@
     }
 
     fun onList(list: List<ListedMachine>, now: Instant) {
+        fleet.listed = true
         for (l in list) {
             val m = machines.getOrPut(l.id) {
                 Machine(l.id, now).also { it.rentedAt = Instant(now.ms - (l.ageS * 1000).toLong()) }
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -30,6 +30,8 @@
     private val types: Map<String, MachineType>,
     private val quota: Quota,
     private val effort: Effort,
+    /** Start of this leader. */
+    private val since: Instant,
 ) {
     private val log = LoggerFactory.getLogger("fleet")
     private val tunables = settings.tunables
@@ -52,6 +54,15 @@
     private var nextRental = 1L
     private var planAt = Instant.NEVER
 
+    /** The cloud's list has been read under this leader. */
+    var listed = false
+
+    /**
+     * Within this time of its start every sound machine has reported to a new leader: a report's longest interval, the
+     * wait for an answer of the old one, and the way round by a sibling or two.
+     */
+    private val settlesWithin = settings.workers.report * REPORT_SPREAD + SETTLE_SLACK
+
     /** A machine that is silent, or does not hear us, is returned after so long. */
     private val silentKeep = maxOf(SILENT_KEEP, settings.workers.report * SILENT_REPORTS)
 
@@ -177,6 +188,8 @@
         if (now - planAt < PLAN_EVERY) return
         planAt = now
         if (types.isEmpty()) return
+        // Before the first list a new leader knows the types of hardly any machine, and would order a fleet anew.
+        if (!listed && now - since < settlesWithin) return
         val bins = bins(now)
         effort.look(machines.size + ranked.size)
         val wanted = demand(ranked, wallNowMs)
@@ -235,9 +248,7 @@
         val bins = ArrayList<Bin>()
         for (m in machines.values) {
             val type = m.type ?: continue
-            val booting = !m.up && m.lapsedAt == null && m.release == ReleaseStage.NONE && !m.listedFailed &&
-                (now - m.rentedAt).seconds < type.bootS * SLOW_START + LEEWAY_S
-            if (m.accepts || booting) bins.add(Bin(type, m.zone, m.spot, m.free, m))
+            if (m.accepts || aboutToAccept(m, type, now)) bins.add(Bin(type, m.zone, m.spot, m.free, m))
         }
         for (r in rentals.values) {
             if (r.stage > RentStage.ASKED) continue
@@ -249,6 +260,20 @@
         return bins
     }
 
+    /** Takes nothing yet, but is expected to before a machine ordered now would. */
+    private fun aboutToAccept(m: Machine, type: MachineType, now: Instant): Boolean {
+        if (m.release != ReleaseStage.NONE || m.listedFailed || m.faulty || m.noticeAt != null) return false
+        val lapsed = m.lapsedAt
+        val deaf = m.deafSince
+        return when {
+            // Has yet to learn our term, or to show after a cut that it hears us: a report or two.
+            m.up -> deaf == null || lapsed != null && now - deaf < settlesWithin
+            lapsed != null -> false
+            (now - m.rentedAt).seconds < type.bootS * SLOW_START + LEEWAY_S -> true
+            else -> m.lastListed != null && now - since < settlesWithin
+        }
+    }
+
     /**
      * Tasks of each job that should get a place of their own now. Gangs: all. Arrays: as many places as let the
      * class's jobs, oldest first, start in a share of the time their objectives give.
@@ -483,6 +508,9 @@
         private val PLAN_EVERY = Span(1_000)
         private val SILENT_KEEP = Span(15_000)
 
+        private const val REPORT_SPREAD = 1.25
+        private val SETTLE_SLACK = Span(5_000)
+
         /** Reports within which a machine shows that it is sound again. */
         private const val SILENT_REPORTS = 4.0
         private val SPOT_FIRST = listOf(true, false)
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -10,6 +10,8 @@
 import dewwing.protocol.JobShape
 import dewwing.protocol.JobSpec
 import dewwing.protocol.JobStage
+import dewwing.protocol.ListedMachine
+import dewwing.protocol.ListedStage
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
 import dewwing.protocol.Objective
@@ -44,7 +46,10 @@
         StateLimits(200.0, 25.0, 4096, 8), CloudLimits(4.0, Span(3_000)),
     )
     private val term = Term(5)
-    private val scheduler = Scheduler(settings, term, Revision(50), Instant(0), 0).also { it.onTypes(listOf(type)) }
+    private val scheduler = Scheduler(settings, term, Revision(50), Instant(0), 0).also {
+        it.onTypes(listOf(type))
+        it.onList(emptyList(), Instant(0))
+    }
     private var now = 0L
     private var seq = 0L
 
@@ -126,6 +131,25 @@
         assertEquals(1, scheduler.counts(JobRef("job-1"))?.running)
     }
 
+    /** Guards against a new leader that orders a fleet anew, since it has not yet heard the one there is. */
+    @Test
+    fun `a new leader orders nothing before it has read the list, and counts machines that have yet to report to it`() {
+        val s = Scheduler(settings, term, Revision(50), Instant(0), 0).also { it.onTypes(listOf(type)) }
+        val job = spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half)
+        s.restoreJob(job.ref, JobRecord(JobStage.QUEUED, job, 0), Revision(1))
+        s.restored(Instant(0))
+        fun ordersAt(ms: Long): Boolean {
+            val effects = s.round(Instant(ms)) { true }
+            if (effects.any { it is Effect.Write }) s.onWritten(Revision(1_000 + ms), Instant(ms))
+            return effects.any { e -> e is Effect.Write && e.change.puts.any { it.first.startsWith("rent/") } }
+        }
+        assertFalse(ordersAt(500) || ordersAt(600))
+        s.onList(listOf(ListedMachine(MachineId("m-1"), "k", "a", false, ListedStage.RUNNING, 500.0)), Instant(1_200))
+        assertFalse(ordersAt(2_000) || ordersAt(2_100))
+        // It has not reported in time: it cannot be counted on any more.
+        assertTrue(ordersAt(9_000) || ordersAt(9_100))
+    }
+
     /** Guards against a slow rebuild: reports answered meanwhile keep leases alive longer than older leaders' answers. */
     @Test
     fun `a machine answered while the picture was rebuilt keeps its tasks for a lease from then`() {
