--- a/src/test/kotlin/dewwing/control/core/GrowthTest.kt
+++ b/src/test/kotlin/dewwing/control/core/GrowthTest.kt
@@ -1,7 +1,6 @@
 package dewwing.control.core
 
 import dewwing.control.core.intent.JobRecord
-import dewwing.protocol.CloudLimits
 import dewwing.protocol.Command
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
@@ -10,8 +9,6 @@
 import dewwing.protocol.JobStage
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
-import dewwing.protocol.Objective
-import dewwing.protocol.ObjectiveKind
 import dewwing.protocol.Position
 import dewwing.protocol.Report
 import dewwing.protocol.ReportedTask
@@ -20,10 +17,8 @@
 import dewwing.protocol.Span
 import dewwing.protocol.StateLimits
 import dewwing.protocol.TaskStage
-import dewwing.protocol.Team
 import dewwing.protocol.Term
 import dewwing.protocol.Urgency
-import dewwing.protocol.WorkerTimes
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
@@ -35,12 +30,7 @@
     /** A fleet of [machines] full machines with [queued] jobs that find no place. */
     private class Loaded(private val machines: Int, queued: Int, shape: JobShape = JobShape.ARRAY) {
         private val type = MachineType("k", Resources(8.0, 2.0, 64.0), 10.0, 1.0, 1.0, 0.5, 60.0, listOf("a"))
-        private val settings = CoreSettings(
-            listOf(Team("t", 0.0, null, 0.0, null)),
-            listOf(Objective(ObjectiveKind.WAIT, "c", 10.0, 0.9)),
-            WorkerTimes(Span(4_000), Span(22_000), Span(30_000), Span(6_000), Span(30_000)),
-            StateLimits(1e6, 1e6, 65_536, 64), CloudLimits(4.0, Span(3_000)),
-        )
+        private val settings = settingsOf(Span(4_000), Span(22_000), StateLimits(1e6, 1e6, 65_536, 64), mapOf("c" to 10.0))
         val scheduler = Scheduler(settings, Term(5), Revision(50), Instant(0), 0).also { it.onTypes(listOf(type)) }
         private val held = List(machines) { HashMap<Any, ReportedTask>() }
         private var seq = 0L
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -2,7 +2,6 @@
 
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.LogRecord
-import dewwing.protocol.CloudLimits
 import dewwing.protocol.Command
 import dewwing.protocol.EndCause
 import dewwing.protocol.Instant
@@ -14,8 +13,6 @@
 import dewwing.protocol.ListedStage
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
-import dewwing.protocol.Objective
-import dewwing.protocol.ObjectiveKind
 import dewwing.protocol.Position
 import dewwing.protocol.Report
 import dewwing.protocol.ReportedTask
@@ -26,10 +23,8 @@
 import dewwing.protocol.Step
 import dewwing.protocol.TaskRef
 import dewwing.protocol.TaskStage
-import dewwing.protocol.Team
 import dewwing.protocol.Term
 import dewwing.protocol.Urgency
-import dewwing.protocol.WorkerTimes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -39,12 +34,7 @@
 /** One leader and one or two machines, step by step. */
 class SchedulerTest {
     private val type = MachineType("k", Resources(8.0, 2.0, 64.0), 10.0, 1.0, 1.0, 0.5, 60.0, listOf("a"))
-    private val settings = CoreSettings(
-        listOf(Team("t", 0.0, null, 0.0, null)),
-        listOf(Objective(ObjectiveKind.WAIT, "urgent", 10.0, 0.9)),
-        WorkerTimes(Span(2_000), Span(10_000), Span(30_000), Span(6_000), Span(30_000)),
-        StateLimits(200.0, 25.0, 4096, 8), CloudLimits(4.0, Span(3_000)),
-    )
+    private val settings = settingsOf(Span(2_000), Span(10_000), StateLimits(200.0, 25.0, 4096, 8), mapOf("urgent" to 10.0))
     private val term = Term(5)
     private val scheduler = Scheduler(settings, term, Revision(50), Instant(0), 0).also {
         it.onTypes(listOf(type))
--- a/src/test/kotlin/dewwing/control/core/TimesTest.kt
+++ b/src/test/kotlin/dewwing/control/core/TimesTest.kt
@@ -1,7 +1,6 @@
 package dewwing.control.core
 
 import dewwing.control.core.intent.JobRecord
-import dewwing.protocol.CloudLimits
 import dewwing.protocol.Command
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
@@ -19,10 +18,8 @@
 import dewwing.protocol.StateLimits
 import dewwing.protocol.TaskRef
 import dewwing.protocol.TaskStage
-import dewwing.protocol.Team
 import dewwing.protocol.Term
 import dewwing.protocol.Urgency
-import dewwing.protocol.WorkerTimes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -38,11 +35,8 @@
         val report = random.nextLong(1_000, 6_000)
         val lease = (report * random.nextDouble(3.5, 7.0)).toLong()
         private val type = MachineType("k", Resources(8.0, 2.0, 64.0), 10.0, 1.0, 1.0, 0.5, 20.0, listOf("a"))
-        private val settings = CoreSettings(
-            listOf(Team("t", 0.0, null, 0.0, null)), emptyList(),
-            WorkerTimes(Span(report), Span(lease), Span(30_000), Span(6_000), Span(30_000)),
-            StateLimits(200.0, 100.0, 4096, 8), CloudLimits(4.0, Span(3_000)),
-            Tunables(idleKeep = Span(10_000_000)),
+        private val settings = settingsOf(
+            Span(report), Span(lease), StateLimits(200.0, 100.0, 4096, 8), tunables = Tunables(idleKeep = Span(10_000_000)),
         )
         val scheduler = Scheduler(settings, Term(5), Revision(50), Instant(0), 0).also { it.onTypes(listOf(type)) }
         var now = 0L
