--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -40,6 +40,9 @@
     /** Asks a sibling that reaches the state service; null when none can be had. */
     suspend fun relay(request: HttpRequest): HttpAnswer?
 
+    /** To be called before a user is told that [job] is cancelled; [revision] is that of its record. */
+    fun tellsCancelled(job: JobRef, revision: Revision)
+
     /** Display counts, from whoever leads; null when unknown. */
     suspend fun counts(ref: JobRef): JobCounts?
     fun now(): Instant
@@ -178,6 +181,7 @@
             // The job is known, whatever happened to its record: neither 404 nor an end of this process.
             throw StateUnavailableException("record of $ref cannot be read: ${e.message}", certainlyNot = false)
         }
+        if (record.stage == JobStage.ABORTED) host.tellsCancelled(ref, entry.revision)
         if (record.isFinal) finals.put(ref.value, record.stage)
         return record to entry.revision
     }
@@ -200,7 +204,9 @@
             if (!changes.tryTake(host.now(), 1.0)) return HttpAnswer.error(429, "too many", RETRY_S)
             val value = record.copy(stage = JobStage.ABORTED).toValue()
             val change = StateChange(listOf(Keys.job(ref) to revision), listOf(Keys.job(ref) to value))
-            if (state.commit(change) is CommitResult.Applied) {
+            val result = state.commit(change)
+            if (result is CommitResult.Applied) {
+                host.tellsCancelled(ref, result.revision)
                 finals.put(ref.value, JobStage.ABORTED)
                 return HttpAnswer.of(200, Wire.jobAnswer(ref, JobStage.ABORTED))
             }
--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -10,8 +10,11 @@
 import dewwing.control.core.Tunables
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.leadership.Authority
+import dewwing.control.core.leadership.Cancellation
 import dewwing.control.core.leadership.Leadership
+import dewwing.control.core.leadership.LeadershipTimes
 import dewwing.control.core.leadership.SiblingWord
+import dewwing.control.core.leadership.ToldCancellations
 import dewwing.control.core.quota.Quota
 import dewwing.control.http.HttpAnswer
 import dewwing.control.http.HttpClient
@@ -29,6 +32,7 @@
 import dewwing.control.worker.WorkerClient
 import dewwing.protocol.Fields
 import dewwing.protocol.HoldId
+import dewwing.protocol.Incarnation
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
 import dewwing.protocol.JobStage
@@ -84,11 +88,12 @@
     private val words = HashMap<String, SiblingWord>()
     private val workersAt = HashMap<String, Boolean>()
     private val leadership = Leadership(
-        ttl = options.holdTtl,
-        margin = Span(HOLD_MARGIN_MS),
-        wordAge = Span(minOf(WORD_AGE_MS, tunables.outageBound.ms)),
+        LeadershipTimes.of(settings.workers, options.holdTtl, Span(minOf(WORD_AGE_MS, tunables.outageBound.ms)))
+            .also(::warnOfNoRoom),
         siblings = peers.keys,
     )
+    private val incarnation = Incarnation(Random.nextLong())
+    private val told = ToldCancellations()
     private val api: UserApi
     private var types: List<MachineType> = emptyList()
     private var leaderName: String? = null
@@ -124,6 +129,14 @@
         metrics.gauge("dewwing.leading", "1 on the leader") { if (leading == null) 0 else 1 }
     }
 
+    private fun warnOfNoRoom(times: LeadershipTimes) {
+        if (times.wordAge.ms < WORD_EVERY_MS * 2) {
+            log.warn("workers.cancel_s leaves no room beyond workers.lease_s: an outage of the state service costs the leases of all running work")
+        } else if (times.readingAge.ms < Leader.READING_EVERY_MS) {
+            log.warn("workers.cancel_s leaves little room beyond workers.lease_s: leases are renewed only while all siblings are heard")
+        }
+    }
+
     suspend fun run(): Unit = coroutineScope {
         val limits = ServerLimits(
             connections = settings.sockets * 3 / 4,
@@ -188,17 +201,26 @@
         var authority = leadership.authority(now(), state.failing)
         if (lead == null || authority == Authority.NONE) return elsewhere()
         lead.heardWorker()
-        val scheduler = lead.scheduler ?: return HttpAnswer.of(200, Wire.reportAnswer(lead.term, emptyList()))
+        val scheduler = lead.scheduler
+        if (scheduler == null) {
+            // Without the picture nobody here knows which of its tasks are cancelled.
+            if (authority != Authority.FULL || !leadership.mayInherit(lead.predecessorReady)) return elsewhere()
+            return HttpAnswer.of(200, Wire.reportAnswer(lead.term, emptyList()))
+        }
+        if (!leadership.informed(now())) return elsewhere()
         scheduler.onReport(report, now())
         if (authority == Authority.FULL) {
             lead.settle(scheduler, report.machine)
             authority = leadership.authority(now(), state.failing)
-            if (leading !== lead || authority == Authority.NONE) return elsewhere()
+            if (leading !== lead || authority == Authority.NONE || !leadership.informed(now())) return elsewhere()
         }
-        val commands = scheduler.commands(report, now(), mayStart = authority == Authority.FULL)
+        val commands = scheduler.commands(report, now(), mayStart = authority == Authority.FULL && seesCancellations())
         return HttpAnswer.of(200, Wire.reportAnswer(lead.term, commands))
     }
 
+    /** A start logged before its job was cancelled elsewhere must not go out once that could be seen no more. */
+    private fun seesCancellations() = now() - state.lastAnswered <= START_FRESH && leadership.mayStart(now())
+
     private fun elsewhere(): HttpAnswer {
         turnedAwayAt = now()
         return HttpAnswer.of(421, Wire.redirect(leaderName?.takeIf { it != settings.node && now() - leaderSeenAt < LEADER_FRESH }))
@@ -218,6 +240,7 @@
             highestTerm = leadership.highestTerm,
             leader = leaderName?.takeIf { sure } ?: "",
             workersHere = now() - turnedAwayAt < TURNED_AWAY,
+            incarnation = incarnation,
         )
     }
 
@@ -225,15 +248,9 @@
         while (true) {
             val sent = now()
             try {
-                val answer = client.ask(PeerRequest.Word(settings.node, ownWord()), WORD_TIMEOUT_MS)
-                if (answer is PeerAnswer.Word) {
-                    // Dated when it was asked for: the sibling said it later than that, never earlier.
-                    val word = SiblingWord(sent, answer.word.reachesState, answer.word.highestTerm)
-                    words[name] = word
-                    workersAt[name] = answer.word.workersHere
-                    leadership.heard(name, word)
-                    hearLeader(answer.word)
-                }
+                val lead = leading
+                val answer = client.ask(PeerRequest.Word(settings.node, ownWord(), lead?.jobsKnown), WORD_TIMEOUT_MS)
+                if (answer is PeerAnswer.Word) hearWord(name, answer, sent, lead)
             } catch (e: IOException) {
                 log.debug("no word from {}: {}", name, e.message)
             }
@@ -244,6 +261,27 @@
         }
     }
 
+    private fun hearWord(name: String, answer: PeerAnswer.Word, sent: Instant, askedAs: Leader?) {
+        val said = answer.word
+        for (c in answer.cancellations ?: emptyList()) leading?.scheduler?.onCancelled(c.job, c.revision, now())
+        // Dated when it was asked for: the sibling said it later than that, never earlier.
+        val tellsAll = answer.cancellations != null && askedAs === leading
+        val word = SiblingWord(sent, said.reachesState, said.highestTerm, said.incarnation, tellsAll)
+        words[name] = word
+        workersAt[name] = said.workersHere
+        leadership.heard(name, word, now())
+        hearLeader(said)
+    }
+
+    /**
+     * A user is about to be told that [job] is cancelled. A leader that the state service refuses would not see it, and
+     * would keep its tasks alive in an outage.
+     */
+    override fun tellsCancelled(job: JobRef, revision: Revision) {
+        told.note(Cancellation(job, revision))
+        leading?.scheduler?.onCancelled(job, revision, now())
+    }
+
     private fun hearLeader(word: PeerWord) {
         val fresher = word.leader == leaderName || now() - leaderReadAt >= LEADER_FRESH || leaderName == null
         if (fresher && leading == null && word.leader.isNotEmpty() && word.leader != settings.node &&
@@ -254,7 +292,7 @@
     private suspend fun answerPeer(request: PeerRequest): PeerAnswer = when (request) {
         is PeerRequest.Word -> {
             leadership.heardTerm(request.word.highestTerm)
-            PeerAnswer.Word(ownWord())
+            PeerAnswer.Word(ownWord(), request.jobsKnown?.let(told::since))
         }
         is PeerRequest.Counts -> {
             val counts = JobRef.parse(request.ref)?.let { leading?.scheduler?.counts(it) }
@@ -365,12 +403,16 @@
         }
     }
 
-    private class TermSeen(val term: Term, val revision: Revision, val holder: Wire.Entry?, val holderName: String?)
+    /** [ready]: whoever was elected for [term] came to have its picture; true as well when nobody ever was. */
+    private class TermSeen(
+        val term: Term, val revision: Revision, val holder: Wire.Entry?, val holderName: String?, val ready: Boolean,
+    )
 
     private suspend fun readTerm(): TermSeen {
         var term = Term.NONE
         var revision = Revision.ABSENT
         var holder: Wire.Entry? = null
+        var ready = Term.NONE
         // A short wait: after a cut, a read that hangs would hide for seconds that the service answers again.
         state.list(Keys.TERM, TERM_READ_MS) { entries ->
             for (e in entries) {
@@ -379,13 +421,16 @@
                     revision = e.revision
                 }
                 if (e.key == Keys.HOLDER) holder = e
+                if (e.key == Keys.READY) ready = Term((e.value?.get("n") as? Long) ?: 0)
             }
         }
         leadership.heardTerm(term)
-        return TermSeen(term, revision, holder, holder?.value?.get("node") as? String)
+        return TermSeen(term, revision, holder, holder?.value?.get("node") as? String, ready >= term)
     }
 
-    private class Elected(val term: Term, val revision: Revision, val hold: HoldId, val holdSentAt: Instant)
+    private class Elected(
+        val term: Term, val revision: Revision, val hold: HoldId, val holdSentAt: Instant, val predecessorReady: Boolean,
+    )
 
     private suspend fun stand(seen: TermSeen): Elected? {
         val sent = now()
@@ -407,7 +452,7 @@
             if (again.holder?.value?.get("hold") != hold.value || again.term != term) return null
             CommitResult.Applied(again.revision)
         }
-        if (result is CommitResult.Applied) return Elected(term, result.revision, hold, sent)
+        if (result is CommitResult.Applied) return Elected(term, result.revision, hold, sent, seen.ready)
         try {
             state.dropHold(hold)
         } catch (e: IOException) {
@@ -423,6 +468,7 @@
         val leader = Leader(
             term = elected.term,
             termRevision = elected.revision,
+            predecessorReady = elected.predecessorReady,
             hold = elected.hold,
             leadership = leadership,
             state = state,
@@ -463,7 +509,6 @@
         private const val INTAKE_SHARE = 0.8
         private const val INTAKE_BURST = 6.0
         private const val VALUE_SLACK = 64
-        private const val HOLD_MARGIN_MS = 250L
         private const val WORD_AGE_MS = 2_500L
         private const val WORD_EVERY_MS = 500L
         private const val IDLE_WORD_EVERY_MS = 1_500L
@@ -474,6 +519,9 @@
         private const val COUNTS_MS = 300L
         private const val TYPES_RETRY_MS = 1_000L
         private val LEADER_FRESH = Span(3_000)
+
+        /** The hold is renewed oftener than this, so silence for so long is one. */
+        private val START_FRESH = Span(1_200)
         private val TURNED_AWAY = Span(2_500)
         private val STAND_BACK = Span(10_000)
         private const val TERM_READ_MS = 1_000L
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -20,6 +20,7 @@
 import dewwing.control.state.StateUnavailableException
 import dewwing.control.worker.WorkerClient
 import dewwing.protocol.HoldId
+import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
@@ -43,6 +44,8 @@
 class Leader(
     val term: Term,
     private val termRevision: Revision,
+    /** The leader before this one had read its picture. */
+    val predecessorReady: Boolean,
     private val hold: HoldId,
     private val leadership: Leadership,
     private val state: StateClient,
@@ -69,6 +72,10 @@
     var scheduler: Scheduler? = null
         private set
 
+    /** Every change of a job up to this revision is in the picture; null before there is one. */
+    var jobsKnown: Revision? = null
+        private set
+
     fun wake() {
         signal.trySend(Unit)
     }
@@ -161,6 +168,7 @@
 
     private suspend fun serve(): Unit = coroutineScope {
         val since = rebuild()
+        launch { markReady() }
         // A controller that runs alone has nobody whom the workers could reach instead.
         if (hasSiblings) launch { watchWorkers() }
         launch { followJobs(since) }
@@ -173,6 +181,7 @@
     private suspend fun rebuild(): Revision {
         while (true) {
             try {
+                val asked = clock.now()
                 val wallOffset = clock.wallMs() - clock.now().ms
                 val s = Scheduler(core, term, termRevision, clock.now(), wallOffset)
                 s.onTypes(knownTypes())
@@ -188,8 +197,10 @@
                 state.list(Keys.RELEASES) { page ->
                     for (e in page) read(e) { s.restoreRelease(e.key, ReleaseRecord.of(e.key, it)) }
                 }
+                state.list(Keys.FENCES) { page -> for (e in page) s.restoreFence(e.key) }
                 s.restored(clock.now())
                 scheduler = s
+                readJobs(since, asked)
                 return since
             } catch (e: IOException) {
                 log.debug("not rebuilt yet: {}", e.message)
@@ -198,6 +209,25 @@
         }
     }
 
+    /** Tells a successor that whatever was cancelled before this term is known to its workers or to be killed. */
+    private suspend fun markReady() {
+        val change = StateChange(listOf(Keys.TERM to termRevision), listOf(Keys.READY to mapOf("n" to term.value)))
+        while (true) {
+            try {
+                state.commit(change)
+                return
+            } catch (e: IOException) {
+                log.debug("picture not announced yet: {}", e.message)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    private fun readJobs(upTo: Revision, askedAt: Instant) {
+        jobsKnown = upTo
+        leadership.readJobs(askedAt)
+    }
+
     private inline fun read(entry: Wire.Entry, use: (Map<String, Any?>) -> Unit) {
         try {
             entry.value?.let(use)
@@ -215,13 +245,15 @@
         var since = from
         while (true) {
             try {
-                when (val result = state.follow(Keys.JOBS, since, Span(FOLLOW_MS))) {
+                val asked = clock.now()
+                when (val result = state.follow(Keys.JOBS, since, Span(READING_EVERY_MS))) {
                     is FollowResult.Changes -> {
                         result.entries.forEach(::jobChanged)
                         since = result.revision
                     }
                     FollowResult.TooOld -> since = state.list(Keys.JOBS) { it.forEach(::jobChanged) }
                 }
+                readJobs(since, asked)
                 wake()
             } catch (e: IOException) {
                 log.debug("following jobs: {}", e.message)
@@ -260,8 +292,10 @@
     }
 
     private suspend fun storeTypes(types: List<MachineType>): List<MachineType>? = try {
+        // Its own revision too: a copy that comes late must not put older types back.
+        val before = state.get(Keys.TYPES)?.revision ?: Revision.ABSENT
         val change = StateChange(
-            listOf(Keys.TERM to termRevision), listOf(Keys.TYPES to Wire.machineTypesMap(types)),
+            listOf(Keys.TERM to termRevision, Keys.TYPES to before), listOf(Keys.TYPES to Wire.machineTypesMap(types)),
         )
         if (state.commit(change) is CommitResult.Applied) types else null
     } catch (e: IOException) {
@@ -316,24 +350,45 @@
             try {
                 when (val result = state.commit(change)) {
                     is CommitResult.Applied -> s.onWritten(result.revision, clock.now())
-                    is CommitResult.Conflict -> if (!s.onRefused(result.failed, clock.now())) end("the term's key changed")
+                    is CommitResult.Conflict -> {
+                        if (!s.onRefused(result.failed, clock.now())) end("the term's key changed")
+                        reread(result.failed)
+                    }
                     CommitResult.HoldEnded -> end("the hold has run out")
                 }
                 announceWritten(s)
                 return
             } catch (e: StateUnavailableException) {
+                if (!e.certainlyNot) s.onUncertain()
                 log.debug("change not certain: {}", e.message)
                 delay(RETRY_MS)
             }
         }
     }
 
+    /**
+     * Jobs that changed under a refused change. Their watch tells as well, but while it hangs every further change that
+     * touches one of them would be refused too, and all that goes with it.
+     */
+    private suspend fun reread(failed: List<String>) {
+        for (key in failed) {
+            if (!key.startsWith(Keys.JOBS)) continue
+            try {
+                state.get(key)?.let(::jobChanged)
+            } catch (e: IOException) {
+                log.debug("changed job {} not read: {}", key, e.message)
+            }
+        }
+    }
+
     companion object {
         private const val REPORT_ANSWER_MS = 400L
         private const val RENEW_TIMEOUT_MS = 700L
         private const val RENEW_RETRY_MS = 150L
         private const val RETRY_MS = 250L
-        private const val FOLLOW_MS = 15_000L
+
+        /** A watch returns at least so often, so that a hanging one is noticed while there is time to ask again. */
+        const val READING_EVERY_MS = 4_000L
         private const val LIST_EVERY_MS = 4_000L
         private const val TYPES_EVERY_MS = 20_000L
         private const val ROUND_MIN_MS = 100L
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -12,6 +12,7 @@
 import dewwing.control.core.job.Attempt
 import dewwing.control.core.job.AttemptPhase
 import dewwing.control.core.job.Job
+import dewwing.control.core.leadership.LeadershipTimes
 import dewwing.control.core.placement.Openings
 import dewwing.control.core.placement.Placement
 import dewwing.control.core.placement.Placer
@@ -87,7 +88,7 @@
      * own before the picture was rebuilt.
      */
     private var unbookedUntil = startedAt + tunables.outageBound
-    private val leaseSpan = Span((settings.workers.lease.ms * LEASE_DRIFT).toLong() + LEASE_SLACK_MS)
+    private val leaseSpan = LeadershipTimes.leaseWithDrift(settings.workers.lease)
 
     /** A worker that has not reported for so long is not counted on for new work. */
     private val silenceSpan = settings.workers.report * REPORT_SPREAD + Span(SILENT_SLACK_MS)
@@ -107,8 +108,8 @@
     // ---- rebuilding from the state service -------------------------------------------------------------------
 
     fun restoreJob(ref: JobRef, record: JobRecord, revision: Revision) {
+        // Final jobs keep their description while tasks of theirs may be on machines: those count until proven gone.
         val spec = record.spec ?: return
-        if (record.stage == JobStage.DONE) return
         val job = Job(spec, revision, record.submittedAtMs)
         if (record.isFinal) {
             job.final = record.stage
@@ -153,6 +154,11 @@
         fleet.releaseLogged(key, record)
     }
 
+    /** Fences of earlier terms guard nothing any more: their changes fail on the term. */
+    fun restoreFence(key: String) {
+        if (Keys.termOfFence(key)?.let { it < term } == true) gcQueue.addFirst(startedAt to key)
+    }
+
     fun restored(now: Instant) {
         // Reports are answered while the picture is rebuilt. With a slow state service that takes longer than older
         // leaders' answers count, and a worker answered last thing before would have been given up too early.
@@ -195,6 +201,13 @@
         if (record.isFinal && job.isOpen) finish(job, record.stage, now)
     }
 
+    /** Known from another way than the job's watch, which may hang or be refused while users are told elsewhere. */
+    fun onCancelled(ref: JobRef, revision: Revision, now: Instant) {
+        val job = jobs[ref] ?: return
+        job.revision = maxOf(job.revision, revision)
+        finish(job, JobStage.ABORTED, now)
+    }
+
     private fun finish(job: Job, stage: JobStage, now: Instant) {
         job.final = stage
         job.finalAt = now
@@ -582,6 +595,8 @@
         val b = Batch()
         val room = minOf(settings.state.opsPerCommit, writes.available(now).toInt())
         if (room <= 0) return
+        val fence = Keys.fence(term, nextFence)
+        if (uncertain) raiseFence(b, fence)
         for (job in jobs.values) {
             if (b.ops >= room) break
             if (job.isComplete) closeDone(b, job, now)
@@ -602,13 +617,38 @@
         collectGarbage(b, room, now)
         if (b.ops == 0) return
         b.conditions[Keys.TERM] = termRevision
+        b.conditions[fence] = Revision.ABSENT
         writes.tryTake(now, b.ops.toDouble())
         batch = b
         effects.add(Effect.Write(StateChange(b.conditions.toList(), b.puts, b.removes)))
     }
 
+    private var nextFence = 1L
+
+    /** A change went without an answer before it was certain: a copy of it may still be under way. */
+    private var uncertain = false
+
+    /**
+     * The outcome of the change being written is not known and it will be repeated. Its first copy may be carried out
+     * after newer changes, and a condition on the term alone would let it put back what those removed.
+     */
+    fun onUncertain() {
+        uncertain = true
+    }
+
+    /** From when this change is carried out, every copy of an earlier one fails. */
+    private fun raiseFence(b: Batch, fence: String) {
+        uncertain = false
+        b.own.add(fence)
+        b.puts.add(fence to emptyMap())
+        b.onApplied.add { nextFence++ }
+        b.onRefused.add { uncertain = true }
+    }
+
     private fun closeDone(b: Batch, job: Job, now: Instant) {
-        val value = JobRecord(JobStage.DONE, null, job.submittedAtMs).toValue()
+        // A task that ended on a machine long unheard may have been started anew meanwhile: a successor must go on
+        // counting that start until it is gone. A gang's tasks end together.
+        val value = JobRecord(JobStage.DONE, job.spec.takeIf { !job.isGang && job.live.isNotEmpty() }, job.submittedAtMs).toValue()
         b.conditions[Keys.job(job.ref)] = job.revision
         b.puts.add(Keys.job(job.ref) to value)
         b.onApplied.add { revision ->
@@ -620,6 +660,8 @@
     private fun addFleetWrites(b: Batch, room: Int, now: Instant) {
         for ((key, record) in fleet.releaseWrites(settings.state.valueBytes - RECORD_SLACK)) {
             if (b.ops >= room) break
+            b.conditions[key] = Revision.ABSENT
+            b.own.add(key)
             b.puts.add(key to record.toValue())
             b.onApplied.add {
                 for (id in record.machines) machines[id]?.release = ReleaseStage.LOGGED
@@ -928,12 +970,6 @@
     }.eachCount()
 
     companion object {
-        /** Two steady clocks may drift apart by 0.05%; twice that, since both may be off. */
-        private const val LEASE_DRIFT = 1.001
-
-        /** Timers fire in steps of milliseconds. */
-        private const val LEASE_SLACK_MS = 250L
-
         /** A worker waits this long for an answer before it turns to another controller. */
         private val ANSWER_WAIT = Span(4_000)
 
--- a/src/main/kotlin/dewwing/control/core/intent/Records.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/Records.kt
@@ -8,6 +8,7 @@
 import dewwing.protocol.MachineId
 import dewwing.protocol.MalformedException
 import dewwing.protocol.Step
+import dewwing.protocol.Term
 import dewwing.protocol.Wire
 import java.util.BitSet
 
@@ -17,11 +18,17 @@
 
     /** Tied to the leader's hold: its absence is what allows the next election. */
     const val HOLDER = "term/holder"
+
+    /** The last term whose leader had read its picture. */
+    const val READY = "term/ready"
     const val JOBS = "job/"
     const val LOGS = "log/"
     const val RENTS = "rent/"
     const val RELEASES = "release/"
 
+    /** See [fence]. */
+    const val FENCES = "fence/"
+
     /** The cloud's machine types as last seen, so that intake needs no cloud. */
     const val TYPES = "cloud/types"
 
@@ -33,6 +40,11 @@
     fun rent(step: Long): String = RENTS + digits(step)
     fun release(step: Long): String = RELEASES + digits(step)
 
+    /** Exists once the leader's changes up to a point are certain: every change is conditional on the next one's absence. */
+    fun fence(term: Term, number: Long): String = "$FENCES${digits(term.value)}/${digits(number)}"
+
+    fun termOfFence(key: String): Term? = key.removePrefix(FENCES).substringBefore('/').toLongOrNull()?.let(::Term)
+
     fun logOf(key: String): Pair<JobRef, Step>? {
         val parts = key.removePrefix(LOGS).split('/')
         if (parts.size != 2) return null
--- a/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
+++ b/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
@@ -1,5 +1,9 @@
 package dewwing.control.peer
 
+import dewwing.control.core.leadership.Cancellation
+import dewwing.protocol.Incarnation
+import dewwing.protocol.JobRef
+import dewwing.protocol.Revision
 import dewwing.protocol.Term
 import okio.Buffer
 import okio.EOFException
@@ -7,8 +11,11 @@
 
 /** What controllers ask each other. */
 sealed interface PeerRequest {
-    /** "How are you, and this is how I am." */
-    data class Word(val from: String, val word: PeerWord) : PeerRequest
+    /**
+     * "How are you, and this is how I am." A leader that has its picture names the revision up to which it has read all
+     * jobs; it is to be told of the cancellations after that.
+     */
+    data class Word(val from: String, val word: PeerWord, val jobsKnown: Revision?) : PeerRequest
 
     /** Display counts of a job; only the leader knows them. */
     data class Counts(val ref: String) : PeerRequest
@@ -21,10 +28,17 @@
  * [leader] is told only by who leads or has just read it from the state service, so that no two controllers keep an
  * old name alive between them. [workersHere] says that workers lately reported to a controller that does not lead.
  */
-data class PeerWord(val reachesState: Boolean, val highestTerm: Term, val leader: String, val workersHere: Boolean)
+data class PeerWord(
+    val reachesState: Boolean,
+    val highestTerm: Term,
+    val leader: String,
+    val workersHere: Boolean,
+    val incarnation: Incarnation,
+)
 
 sealed interface PeerAnswer {
-    data class Word(val word: PeerWord) : PeerAnswer
+    /** [cancellations] is null when not asked for, or when not all of them are known any more. */
+    data class Word(val word: PeerWord, val cancellations: List<Cancellation>?) : PeerAnswer
     data class Counts(val known: Boolean, val running: Int, val done: Int) : PeerAnswer
     class Relay(val status: Int, val retryAfterS: Int, val body: ByteArray) : PeerAnswer
 }
@@ -35,6 +49,7 @@
     private const val WORD = 1
     private const val COUNTS = 2
     private const val RELAY = 3
+    private const val NONE = -1L
 
     fun encode(request: PeerRequest): Buffer {
         val b = Buffer()
@@ -43,6 +58,7 @@
                 b.writeByte(WORD)
                 b.text(request.from)
                 b.word(request.word)
+                b.writeLong(request.jobsKnown?.value ?: NONE)
             }
             is PeerRequest.Counts -> {
                 b.writeByte(COUNTS)
@@ -64,6 +80,7 @@
             is PeerAnswer.Word -> {
                 b.writeByte(WORD)
                 b.word(answer.word)
+                b.cancellations(answer.cancellations)
             }
             is PeerAnswer.Counts -> {
                 b.writeByte(COUNTS)
@@ -83,7 +100,7 @@
 
     fun decodeRequest(b: Buffer): PeerRequest = checked(b) {
         when (val tag = b.readByte().toInt()) {
-            WORD -> PeerRequest.Word(b.text(), b.word())
+            WORD -> PeerRequest.Word(b.text(), b.word(), b.readLong().takeIf { it >= 0 }?.let(::Revision))
             COUNTS -> PeerRequest.Counts(b.text())
             RELAY -> PeerRequest.Relay(b.text(), b.text(), b.bytes())
             else -> throw IOException("unknown peer request $tag")
@@ -92,7 +109,7 @@
 
     fun decodeAnswer(b: Buffer): PeerAnswer = checked(b) {
         when (val tag = b.readByte().toInt()) {
-            WORD -> PeerAnswer.Word(b.word())
+            WORD -> PeerAnswer.Word(b.word(), b.cancellations())
             COUNTS -> PeerAnswer.Counts(b.readByte().toInt() != 0, b.readInt(), b.readInt())
             RELAY -> PeerAnswer.Relay(b.readInt(), b.readInt(), b.bytes())
             else -> throw IOException("unknown peer answer $tag")
@@ -114,9 +131,26 @@
         writeLong(w.highestTerm.value)
         text(w.leader)
         writeByte(if (w.workersHere) 1 else 0)
+        writeLong(w.incarnation.value)
     }
 
-    private fun Buffer.word() = PeerWord(readByte().toInt() != 0, Term(readLong()), text(), readByte().toInt() != 0)
+    private fun Buffer.word() =
+        PeerWord(readByte().toInt() != 0, Term(readLong()), text(), readByte().toInt() != 0, Incarnation(readLong()))
+
+    private fun Buffer.cancellations(list: List<Cancellation>?) {
+        writeInt(list?.size ?: NONE.toInt())
+        for (c in list ?: return) {
+            text(c.job.value)
+            writeLong(c.revision.value)
+        }
+    }
+
+    private fun Buffer.cancellations(): List<Cancellation>? {
+        val n = readInt()
+        if (n < 0) return null
+        if (n > size) throw IOException("bad count in a peer message")
+        return List(n) { Cancellation(JobRef.parse(text()) ?: throw IOException("bad job in a peer message"), Revision(readLong())) }
+    }
 
     private fun Buffer.text(s: String) = bytes(s.toByteArray())
     private fun Buffer.text(): String = bytes().decodeToString()
--- a/src/main/kotlin/dewwing/control/state/StateClient.kt
+++ b/src/main/kotlin/dewwing/control/state/StateClient.kt
@@ -190,7 +190,7 @@
         private const val LIST_MS = 4_000L
         private const val WRITE_MS = 2_000L
         private const val HOLD_MS = 1_000L
-        private const val WATCH_GRACE_MS = 3_000L
+        private const val WATCH_GRACE_MS = 2_000L
         private val EMPTY_MAP = Pack.encode(emptyMap<String, Any?>())
     }
 }
--- a/src/main/kotlin/dewwing/protocol/Ids.kt
+++ b/src/main/kotlin/dewwing/protocol/Ids.kt
@@ -59,6 +59,10 @@
 @JvmInline
 value class HoldId(val value: Long)
 
+/** One life of a controller's process; what an earlier one told its users nobody knows any more. */
+@JvmInline
+value class Incarnation(val value: Long)
+
 /** A point on this process's steady clock, in milliseconds. */
 @JvmInline
 value class Instant(val ms: Long) : Comparable<Instant> {
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -15,6 +15,7 @@
 import dewwing.protocol.MachineType
 import dewwing.protocol.Pack
 import dewwing.protocol.Resources
+import dewwing.protocol.Revision
 import dewwing.protocol.Team
 import dewwing.protocol.Wire
 import io.ktor.network.selector.ActorSelectorManager
@@ -73,6 +74,10 @@
             relays++
             return relayAnswer
         }
+        val toldCancelled = ArrayList<Pair<JobRef, Revision>>()
+        override fun tellsCancelled(job: JobRef, revision: Revision) {
+            toldCancelled.add(job to revision)
+        }
         override suspend fun counts(ref: JobRef): JobCounts? = null
         /** Time that the test lets pass at once. */
         var skippedMs = 0L
@@ -212,6 +217,37 @@
         assertEquals("queued", stage(api.get("/api/jobs/job-1")))
     }
 
+    /**
+     * Guards against a leader that never hears of a cancellation: whoever tells a user of it, on whatever request, has
+     * to pass it on, also when the change was made elsewhere or its answer was lost.
+     */
+    @Test
+    fun `whoever tells a user that a job is cancelled passes that on first, with the revision of its record`() = withApi { api, standIn, host ->
+        val ref = JobRef("job-1")
+        assertEquals(201, api.post(Wire.JOBS, job()).status)
+        api.get("/api/jobs/job-1")
+        assertEquals(emptyList<Any>(), host.toldCancelled)
+        // Carried out, but its answer is lost: the user's repeat finds the job cancelled.
+        standIn.loseNext = true
+        assertEquals(503, api.post("/api/jobs/job-1/cancel", emptyMap<String, Any?>()).status)
+        assertEquals(emptyList<Any>(), host.toldCancelled)
+        assertEquals("aborted", stage(api.post("/api/jobs/job-1/cancel", emptyMap<String, Any?>())))
+        assertEquals(listOf(ref to Revision(2)), host.toldCancelled)
+        assertEquals(201, api.post(Wire.JOBS, job("job-2")).status)
+        assertEquals("aborted", stage(api.post("/api/jobs/job-2/cancel", emptyMap<String, Any?>())))
+        assertEquals(JobRef("job-2") to Revision(4), host.toldCancelled.last())
+        // Cancelled by way of another controller: a question and a repeated submission tell it as well.
+        for ((id, ask) in listOf<Pair<String, suspend () -> HttpAnswer>>("job-3" to { api.get("/api/jobs/job-3") }, "job-4" to { api.post(Wire.JOBS, job("job-4")) })) {
+            standIn.values["job/$id"] = mapOf("stage" to "aborted", "at" to 1) to 70L
+            assertEquals("aborted", stage(ask()))
+            assertEquals(JobRef(id) to Revision(70), host.toldCancelled.last())
+        }
+        // A job that is done was not cancelled.
+        standIn.values["job/job-5"] = mapOf("stage" to "done", "at" to 1) to 71L
+        assertEquals("done", stage(api.post("/api/jobs/job-5/cancel", emptyMap<String, Any?>())))
+        assertEquals(4, host.toldCancelled.size)
+    }
+
     @Test
     fun `past its share of changes intake says 429, but knows its jobs`() = withApi { api, _, _ ->
         for (i in 1..6) assertEquals(201, api.post(Wire.JOBS, job("job-$i")).status)
--- a/src/test/kotlin/dewwing/control/core/CoreTest.kt
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -5,11 +5,15 @@
 import dewwing.control.core.job.AttemptPhase
 import dewwing.control.core.job.Job
 import dewwing.control.core.leadership.Authority
+import dewwing.control.core.leadership.Cancellation
 import dewwing.control.core.leadership.Leadership
+import dewwing.control.core.leadership.LeadershipTimes
 import dewwing.control.core.leadership.SiblingWord
+import dewwing.control.core.leadership.ToldCancellations
 import dewwing.control.core.leadership.WorkerWatch
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.quota.Quota
+import dewwing.protocol.Incarnation
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
 import dewwing.protocol.JobShape
@@ -23,6 +27,7 @@
 import dewwing.protocol.Team
 import dewwing.protocol.Term
 import dewwing.protocol.Urgency
+import dewwing.protocol.WorkerTimes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -33,7 +38,18 @@
 class CoreTest {
     private fun at(ms: Long) = Instant(ms)
 
-    private fun leadership() = Leadership(Span(2_500), Span(250), Span(2_500), setOf("b", "c"))
+    private val leaseOf10 = WorkerTimes(Span(2_000), Span(10_000), Span(30_000), Span(6_000), Span(30_000))
+
+    private fun leadership() = Leadership(LeadershipTimes.of(leaseOf10, Span(2_500), Span(2_500)), setOf("b", "c"))
+
+    private fun Leadership.elected(term: Term, at: Instant, readAt: Instant) {
+        elected(term, at)
+        readJobs(readAt)
+    }
+
+    /** A word that was said and came in at [ms]. */
+    private fun Leadership.hear(name: String, ms: Long, reaches: Boolean, term: Long = 3, life: Long = 1, tellsAll: Boolean = true) =
+        heard(name, SiblingWord(at(ms), reaches, Term(term), Incarnation(life), tellsAll), at(ms))
 
     @Test
     fun `a leader acts while its hold runs, counted from when the renewal was sent`() {
@@ -49,14 +65,14 @@
     @Test
     fun `past its hold it renews leases only while every sibling is cut from the state service too`() {
         val l = leadership()
-        l.elected(Term(3), at(0))
-        l.heard("b", SiblingWord(at(2_000), false, Term(3)))
-        l.heard("c", SiblingWord(at(2_000), false, Term(3)))
+        l.elected(Term(3), at(0), readAt = at(2_000))
+        l.hear("b", 2_000, false)
+        l.hear("c", 2_000, false)
         assertEquals(Authority.RENEW_ONLY, l.authority(at(2_400), true))
-        l.heard("b", SiblingWord(at(3_000), true, Term(3)))
+        l.hear("b", 3_000, true)
         assertEquals(Authority.NONE, l.authority(at(3_100), true))
         // One good word later must not restore it: somebody may have been elected in between.
-        l.heard("b", SiblingWord(at(3_200), false, Term(3)))
+        l.hear("b", 3_200, false)
         assertEquals(Authority.NONE, l.authority(at(3_300), true))
         // A renewal proves that the hold never ended.
         l.renewed(at(3_300))
@@ -66,17 +82,130 @@
     @Test
     fun `a silent sibling ends the exception within the age of its word, a higher term at once`() {
         val l = leadership()
-        l.elected(Term(3), at(0))
-        l.heard("b", SiblingWord(at(2_000), false, Term(3)))
-        l.heard("c", SiblingWord(at(2_200), false, Term(3)))
+        l.elected(Term(3), at(0), readAt = at(2_200))
+        l.hear("b", 2_000, false)
+        l.hear("c", 2_200, false)
         assertEquals(Authority.RENEW_ONLY, l.authority(at(4_500), true))
         assertEquals(Authority.NONE, l.authority(at(4_501), true))
         val m = leadership()
         m.elected(Term(3), at(0))
-        m.heard("c", SiblingWord(at(100), true, Term(4)))
+        m.hear("c", 100, true, term = 4)
         assertEquals(Authority.NONE, m.authority(at(200), false))
     }
 
+    /**
+     * Guards against a leader that, refused by the state service alone and then like everybody, keeps the tasks of jobs
+     * alive that a sibling has told their users are cancelled.
+     */
+    @Test
+    fun `an outage leaves a leader no authority unless every sibling tells all it told its users`() {
+        fun inOutage(prepare: Leadership.() -> Unit): Authority {
+            val l = leadership()
+            l.hear("b", 100, true)
+            l.hear("c", 100, true)
+            l.elected(Term(3), at(1_000), readAt = at(1_200))
+            l.prepare()
+            return l.authority(at(5_000), true)
+        }
+        fun Leadership.words(b: Boolean = true, life: Long = 1) {
+            hear("b", 4_800, false, tellsAll = b, life = life)
+            hear("c", 4_900, false)
+        }
+        assertEquals(Authority.RENEW_ONLY, inOutage { words() })
+        // A list that does not fit is no word.
+        assertEquals(Authority.NONE, inOutage { words(b = false) })
+        // A sibling that restarted has forgotten what it told its users ...
+        assertEquals(Authority.NONE, inOutage { words(life = 2) })
+        // ... which a reading that was asked for later has shown.
+        assertEquals(Authority.RENEW_ONLY, inOutage {
+            hear("b", 1_500, true, life = 2)
+            readJobs(at(1_500))
+            words(life = 2)
+        })
+        assertEquals(Authority.NONE, inOutage {
+            hear("b", 1_500, true, life = 2)
+            readJobs(at(1_499))
+            words(life = 2)
+        })
+        // A new term has to read the jobs itself.
+        assertEquals(Authority.NONE, inOutage {
+            elected(Term(3), at(2_000))
+            words()
+        })
+    }
+
+    /** Guards against a watch that hangs while the hold is renewed, and against a leader that has not read its picture. */
+    @Test
+    fun `a leader whose reading of the jobs is old is informed only by the words of all its siblings`() {
+        val l = leadership()
+        l.elected(Term(3), at(0))
+        assertFalse(l.informed(at(10)))
+        assertFalse(l.mayStart(at(10)))
+        l.readJobs(at(1_000))
+        assertTrue(l.informed(at(9_000)))
+        assertFalse(l.informed(at(9_001)))
+        l.hear("b", 900, true)
+        l.hear("c", 900, true)
+        l.hear("b", 9_000, true)
+        assertFalse(l.informed(at(9_001)))
+        l.hear("c", 9_000, true)
+        assertTrue(l.informed(at(9_001)))
+        assertFalse(l.mayStart(at(9_001)))
+        assertFalse(l.informed(at(11_501)))
+    }
+
+    /**
+     * The arithmetic over settings: the last renewal that a leader can give without having heard of a cancellation,
+     * plus a lease on a slow clock, lies within the time that a cancellation has; so does a chain of a predecessor's
+     * last one and a successor's without a picture.
+     */
+    @Test
+    fun `a lease given in ignorance runs out within the time of a cancellation, whatever the settings`() {
+        val random = Random(11)
+        repeat(2_000) {
+            val workers = WorkerTimes(
+                Span(random.nextLong(500, 6_000)), Span(random.nextLong(1_000, 60_000)), Span(1), Span(1), Span(random.nextLong(1_000, 120_000)),
+            )
+            val times = LeadershipTimes.of(workers, Span(random.nextLong(1_000, 8_000)), Span(2_500))
+            val lease = workers.lease.ms * 1.0005
+            if (times.wordAge.ms > 0) assertTrue(times.wordAge.ms + lease < workers.cancel.ms, "$workers")
+            if (times.readingAge.ms > 0) assertTrue(times.readingAge.ms + lease < workers.cancel.ms, "$workers")
+            if (times.mayInherit) assertTrue(times.readingAge.ms + 2 * lease < workers.cancel.ms, "$workers")
+        }
+        val short = LeadershipTimes.of(leaseOf10, Span(2_500), Span(2_500))
+        assertTrue(short.mayInherit)
+        assertEquals(Span(2_500), short.wordAge)
+        // Two leases of 22 s do not fit into 42 s.
+        val long = LeadershipTimes.of(WorkerTimes(Span(4_000), Span(22_000), Span(1), Span(1), Span(42_000)), Span(2_500), Span(2_500))
+        assertFalse(long.mayInherit)
+        assertEquals(Span(8_000), long.readingAge)
+        val none = Leadership(LeadershipTimes.of(leaseOf10.copy(cancel = Span(10_000)), Span(2_500), Span(2_500)), setOf("b"))
+        none.hear("b", 1_000, false)
+        none.elected(Term(3), at(0), readAt = at(1_000))
+        none.hear("b", 2_999, false)
+        assertEquals(Authority.NONE, none.authority(at(3_000), true))
+    }
+
+    @Test
+    fun `told cancellations are listed from any revision on, or not at all once some were dropped`() {
+        val random = Random(5)
+        val told = ToldCancellations(limit = 20)
+        val all = ArrayList<Cancellation>()
+        repeat(200) {
+            // Noted out of order, and again by later reads.
+            val c = Cancellation(JobRef("job-$it"), Revision(it * 3L + random.nextLong(0, 30)))
+            all.add(c)
+            told.note(c)
+            told.note(all[random.nextInt(all.size)])
+            val known = Revision(random.nextLong(0, 700))
+            val newer = all.filter { a -> a.revision > known }.toSet()
+            val list = told.since(known)
+            if (list == null) assertTrue(newer.size > 0 && all.size > 20) else assertEquals(newer, list.toSet())
+        }
+        assertEquals(null, told.since(Revision(0)))
+        assertEquals(emptyList<Cancellation>(), told.since(Revision(700)))
+    }
+
     /** Guards against a leader that keeps its hold while no worker reaches it (a cut from the workers alone). */
     @Test
     fun `a leader whose workers turn up elsewhere hands over, one that only they have left alone does not`() {
--- a/src/test/kotlin/dewwing/protocol/FormatsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -4,6 +4,7 @@
 import dewwing.control.core.intent.LogRecord
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.Ranges
+import dewwing.control.core.leadership.Cancellation
 import dewwing.control.peer.PeerAnswer
 import dewwing.control.peer.PeerCodec
 import dewwing.control.peer.PeerRequest
@@ -170,9 +171,16 @@
 
     @Test
     fun `messages between controllers survive their frames, and garbage is an IOException`() {
-        val word = PeerWord(true, Term(7), "n-1", true)
-        val request = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Word("n-0", word)))
-        assertEquals(PeerRequest.Word("n-0", word), request)
+        val word = PeerWord(true, Term(7), "n-1", true, Incarnation(-5))
+        for (known in listOf(null, Revision(0), Revision(412))) {
+            val asked = PeerRequest.Word("n-0", word, known)
+            assertEquals(asked, PeerCodec.decodeRequest(PeerCodec.encode(asked)))
+        }
+        // Asked for but incomplete is something else than none.
+        for (list in listOf(null, emptyList(), List(300) { Cancellation(JobRef("job-$it"), Revision(it + 9L)) })) {
+            val said = PeerAnswer.Word(word, list)
+            assertEquals(said, PeerCodec.decodeAnswer(PeerCodec.encode(said)))
+        }
         assertEquals(PeerAnswer.Counts(true, 2, 3), PeerCodec.decodeAnswer(PeerCodec.encode(PeerAnswer.Counts(true, 2, 3))))
         val relay = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Relay("POST", "/p", byteArrayOf(1, 2))))
         assertArrayEquals(byteArrayOf(1, 2), (relay as PeerRequest.Relay).body)
@@ -184,6 +192,11 @@
             } catch (e: IOException) {
                 assertTrue(e.message.orEmpty().isNotEmpty())
             }
+            try {
+                PeerCodec.decodeAnswer(Buffer().write(bytes))
+            } catch (e: IOException) {
+                assertTrue(e.message.orEmpty().isNotEmpty())
+            }
         }
     }
 }
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -10,9 +10,16 @@
 import dewwing.control.core.intent.LogRecord
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
+import dewwing.control.core.leadership.Authority
+import dewwing.control.core.leadership.Cancellation
+import dewwing.control.core.leadership.Leadership
+import dewwing.control.core.leadership.LeadershipTimes
+import dewwing.control.core.leadership.SiblingWord
+import dewwing.control.core.leadership.ToldCancellations
 import dewwing.protocol.CloudLimits
 import dewwing.protocol.Command
 import dewwing.protocol.EndCause
+import dewwing.protocol.Incarnation
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
 import dewwing.protocol.JobShape
@@ -203,7 +210,7 @@
     private val cap: Double = 24.0,
     private val largest: Int = 12,
 ) {
-    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE, NO_ANSWERS, STARVE_LARGE, LEAD_ALONE, OLD_BOOKS }
+    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE, NO_ANSWERS, STARVE_LARGE, LEAD_ALONE, OLD_BOOKS, DEAF_TO_WORDS }
 
     private val random = Random(seed)
     private val events = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
@@ -229,17 +236,30 @@
         for ((k, raw) in c.puts) {
             val v = decoded(raw)
             store[k] = v to tide
-            Keys.jobOf(k)?.takeIf { k.startsWith(Keys.JOBS) }?.let { ref ->
-                val record = JobRecord.of(v)
-                val seen = tide
-                if (record.isFinal) rules.tells(ref, record.stage)
-                after(random.nextLong(5, 60)) { controllers.forEach { if (!starved(record)) it.scheduler?.onJobEntry(ref, record, Revision(seen), instant()) } }
+            if (k.startsWith(Keys.JOBS)) {
+                changes.add(tide to k)
+                JobRecord.of(v).let { if (it.isFinal) Keys.jobOf(k)?.let { ref -> rules.tells(ref, it.stage) } }
             }
         }
         for (k in c.removes) store.remove(k)
         return null
     }
 
+    /** Changes of jobs in order, for the watches. */
+    private val changes = ArrayList<Pair<Long, String>>()
+
+    /** Down for everybody until then. */
+    private var outageUntil = 0L
+
+    private fun stateAnswers(c: Controller) = now >= outageUntil && now >= c.refusedUntil && now >= c.loneUntil
+
+    /** Once an outage is over, every hold has its full time again. */
+    private fun outage(ms: Long) {
+        outageUntil = maxOf(outageUntil, now + ms)
+        after(ms) { if (now >= outageUntil && holdUntil > now - ms) holdUntil = now + HOLD_MS }
+        if (holdUntil > now) holdUntil = maxOf(holdUntil, outageUntil + 1)
+    }
+
     private fun starved(record: JobRecord) = tamper == Tamper.STARVE_LARGE && (record.spec?.tasks ?: 0) > 8
 
     // ---- workers ----
@@ -430,56 +450,151 @@
     private var holder = -1
     private var holdUntil = 0L
 
+    /** The last term whose leader had its picture. */
+    private var readyTerm = 0L
+
+    /** One controller with its real [Leadership], words and [Scheduler]; what carries them is written from the protocol. */
     private inner class Controller(val n: Int) {
         var scheduler: Scheduler? = null
         var term = 0L
-        var validUntil = 0L
         var life = 0
+        var up = true
 
         /** Until then neither the state service nor a sibling is reached. */
         var loneUntil = 0L
 
+        /** Until then the state service refuses this controller alone. */
+        var refusedUntil = 0L
+
+        /** Until then the watch of the jobs hangs, while all else is answered. */
+        var watchHungUntil = 0L
+
+        /** Until then it does nothing at all. */
+        var frozenUntil = 0L
+        private var leadership = leadershipOf()
+        private var told = ToldCancellations()
+        private var incarnation = Incarnation(random.nextLong())
+
         /** Elected, but still reading. */
-        var rebuilding = false
+        private var rebuilding = false
+        private var predecessorReady = false
 
+        /** Every change of a job up to this revision is known here. */
+        private var jobsKnown: Revision? = null
+        private var answeredAt = 0L
+
+        private fun leadershipOf() = Leadership(
+            LeadershipTimes.of(workersTimes, Span(HOLD_MS), Span(2_500)), (0 until CONTROLLERS).filter { it != n }.map { "$it" }.toSet(),
+        )
+
+        private val leads get() = scheduler != null || rebuilding
+        val awake get() = up && now >= frozenUntil
+
+        /** Whether users and workers get an answer of this controller now. */
         fun answer(r: Report): Pair<Long, List<Command>>? {
-            if (rebuilding && now < validUntil && r.term.value <= term) return term to emptyList()
-            val s = scheduler ?: return null
-            if (now >= validUntil || r.term.value > term && tamper != Tamper.LEAD_ALONE) return null
+            if (!awake) return null
+            if (tamper != Tamper.LEAD_ALONE) leadership.heardTerm(r.term)
+            val authority = if (tamper == Tamper.LEAD_ALONE && leads) Authority.FULL else leadership.authority(instant(), !stateAnswers(this))
+            if (!leads || authority == Authority.NONE) return null
+            val s = scheduler ?: return (term to emptyList<Command>()).takeIf {
+                tamper == Tamper.OLD_BOOKS || authority == Authority.FULL && leadership.mayInherit(predecessorReady)
+            }
+            if (tamper != Tamper.LEAD_ALONE && tamper != Tamper.DEAF_TO_WORDS && !leadership.informed(instant())) return null
             s.onReport(r, instant())
-            var commands = s.commands(r, instant(), mayStart = true)
+            val fresh = now - answeredAt <= 1_200 && leadership.mayStart(instant())
+            var commands = s.commands(r, instant(), mayStart = authority == Authority.FULL && (fresh || tamper == Tamper.LEAD_ALONE))
             if (tamper == Tamper.IGNORE_CANCEL) commands = commands.filter { it !is Command.Kill }
             return term to commands
         }
 
         fun live(myLife: Int) {
             if (myLife != life) return
-            if (now < loneUntil) {
-                // No renewal, no election, no change; its workers it still answers, for as long as it thinks it may.
-                if (tamper == Tamper.LEAD_ALONE) validUntil = now + HOLD_MS
-            } else if (holder == n && holdUntil > now && (scheduler != null || rebuilding)) {
+            if (awake) turn(myLife)
+            after(random.nextLong(150, 400)) { live(myLife) }
+        }
+
+        private fun turn(myLife: Int) {
+            val reached = stateAnswers(this)
+            if (reached) answeredAt = now
+            if (reached && leads) {
+                if (holder != n || holdUntil <= now || leadership.highestTerm.value > term) return resign()
                 if (random.nextDouble() < 0.97) {
                     holdUntil = now + HOLD_MS
-                    validUntil = now + HOLD_MS - 250
+                    leadership.renewed(instant())
+                }
+            } else if (reached && holdUntil <= now) {
+                elect(myLife)
+            } else if (reached && holder == n) {
+                holdUntil = now
+            }
+            val s = scheduler ?: return
+            if (leadership.authority(instant(), !reached) == Authority.FULL) for (e in s.round(instant()) { true }) carryOut(e, myLife)
+        }
+
+        private fun resign() {
+            scheduler = null
+            rebuilding = false
+            jobsKnown = null
+            leadership.resign()
+        }
+
+        fun watch(myLife: Int) {
+            if (myLife != life) return
+            after(random.nextLong(20, 150)) { watch(myLife) }
+            val s = scheduler ?: return
+            val since = jobsKnown ?: return
+            if (!awake || !stateAnswers(this) || now < watchHungUntil) return
+            for ((revision, key) in changes.filter { it.first > since.value }) {
+                val (value, mark) = store.getValue(key)
+                if (mark != revision) continue
+                val record = JobRecord.of(value)
+                if (!starved(record)) s.onJobEntry(Keys.jobOf(key) ?: continue, record, Revision(revision), instant())
+            }
+            knows(Revision(tide), now)
+        }
+
+        private fun knows(upTo: Revision, askedAt: Long) {
+            jobsKnown = upTo
+            leadership.readJobs(Instant(askedAt))
+        }
+
+        /** Asks each sibling for its word twice a second, as the adapter does. */
+        fun talk(myLife: Int) {
+            if (myLife != life) return
+            after(random.nextLong(400, 700)) { talk(myLife) }
+            if (!awake || now < loneUntil) return
+            for (other in controllers) {
+                if (other === this) continue
+                val sent = now
+                val askedIn = term.takeIf { leads }
+                val known = jobsKnown
+                after(random.nextLong(1, 40)) {
+                    if (!other.awake || now < other.loneUntil) return@after
+                    other.leadership.heardTerm(leadership.highestTerm)
+                    val list = if (tamper == Tamper.DEAF_TO_WORDS) emptyList() else known?.let { other.told.since(it) }
+                    val reaches = stateAnswers(other)
+                    val highest = other.leadership.highestTerm
+                    val said = other.incarnation
+                    after(random.nextLong(1, 40)) {
+                        if (life != myLife || !awake || now < loneUntil) return@after
+                        for (c in list ?: emptyList()) scheduler?.onCancelled(c.job, c.revision, instant())
+                        val tellsAll = list != null && askedIn == term.takeIf { leads }
+                        leadership.heard("${other.n}", SiblingWord(Instant(sent), reaches, highest, said, tellsAll), instant())
+                    }
                 }
-                val s = scheduler
-                if (now < validUntil) for (e in s?.round(instant()) { true } ?: emptyList()) carryOut(e, myLife)
-            } else {
-                scheduler = null
-                rebuilding = false
-                if (holdUntil <= now) elect(myLife)
             }
-            after(random.nextLong(150, 400)) { live(myLife) }
         }
 
         private fun elect(myLife: Int) {
             val seen = store[Keys.TERM]
-            val t = ((seen?.first?.get("n") as? Long) ?: 0L) + 1
+            val before = (seen?.first?.get("n") as? Long) ?: 0L
+            val t = before + 1
             commit(StateChange(listOf(Keys.TERM to Revision(seen?.second ?: 0L)), listOf(Keys.TERM to mapOf("n" to t))))
             holder = n
             holdUntil = now + HOLD_MS
-            validUntil = now + HOLD_MS - 250
             term = t
+            predecessorReady = readyTerm >= before
+            leadership.elected(Term(t), instant())
             val cap = if (tamper == Tamper.NO_QUOTA) null else cap
             val lease = if (tamper == Tamper.LAPSE_AT_ONCE) Span(2_000) else workersTimes.lease
             val core = CoreSettings(
@@ -489,20 +604,23 @@
             )
             val s = Scheduler(core, Term(t), Revision(store.getValue(Keys.TERM).second), instant(), 0)
             s.onTypes(types)
-            if (trouble.rebuildMs == 0L) {
-                read(s)
-                return
-            }
             rebuilding = true
-            val electedAt = instant()
-            after(random.nextLong(1, trouble.rebuildMs)) {
-                if (life != myLife || !rebuilding || term != t) return@after
+            readSoon(s, myLife, instant())
+        }
+
+        /** The picture takes a while, longer with a slow state service, and waits for its answer. */
+        private fun readSoon(s: Scheduler, myLife: Int, electedAt: Instant) {
+            after(random.nextLong(0, maxOf(trouble.rebuildMs, 20))) {
+                if (life != myLife || !rebuilding || term != s.term.value) return@after
+                if (!awake || !stateAnswers(this)) return@after readSoon(s, myLife, electedAt)
                 rebuilding = false
                 read(s, if (tamper == Tamper.OLD_BOOKS) electedAt else instant())
+                knows(Revision(tide), now)
+                readyTerm = term
             }
         }
 
-        private fun read(s: Scheduler, at: Instant = instant()) {
+        private fun read(s: Scheduler, at: Instant) {
             for ((k, v) in store) {
                 when {
                     k.startsWith(Keys.JOBS) -> {
@@ -514,6 +632,7 @@
                     k.startsWith(Keys.LOGS) -> if (tamper != Tamper.FORGET_INHERITED) s.restoreLog(k, LogRecord.of(decoded(v.first)))
                     k.startsWith(Keys.RENTS) -> s.restoreRent(k, RentRecord.of(decoded(v.first)), instant())
                     k.startsWith(Keys.RELEASES) -> s.restoreRelease(k, ReleaseRecord.of(k, decoded(v.first)))
+                    k.startsWith(Keys.FENCES) -> s.restoreFence(k)
                 }
             }
             s.restored(at)
@@ -550,34 +669,78 @@
 
         private fun write(s: Scheduler, change: StateChange, myLife: Int) {
             if (life != myLife || scheduler !== s) return
-            if (now < loneUntil) {
+            if (!awake || !stateAnswers(this)) {
                 after(300) { write(s, change, myLife) }
                 return
             }
             val lost = random.nextDouble() < trouble.loseAnswer
-            val late = random.nextDouble() < trouble.lateCommit
+            val late = random.nextDouble() < if (now < lateWritesUntil) 0.4 else trouble.lateCommit
             if (late) after(random.nextLong(1_000, 30_000)) { commit(change) }
             val failed = if (late) null else commit(change)
             after(random.nextLong(4, 100)) {
                 if (life != myLife || scheduler !== s) return@after
                 when {
-                    lost || late -> after(300) { write(s, change, myLife) }
+                    lost || late -> {
+                        s.onUncertain()
+                        after(300) { write(s, change, myLife) }
+                    }
                     failed == null -> s.onWritten(Revision(tide), instant())
-                    !s.onRefused(failed, instant()) -> scheduler = null
+                    !s.onRefused(failed, instant()) -> resign()
                 }
             }
         }
 
         fun crash() {
             life++
-            scheduler = null
-            rebuilding = false
-            validUntil = 0
+            resign()
+            up = false
+            // What it told its users dies with it.
+            leadership = leadershipOf()
+            told = ToldCancellations()
+            incarnation = Incarnation(random.nextLong())
             val mine = life
-            after(random.nextLong(trouble.backMs, 4_000)) { live(mine) }
+            after(random.nextLong(trouble.backMs, 4_000)) {
+                if (life != mine) return@after
+                up = true
+                live(mine)
+                watch(mine)
+                talk(mine)
+            }
+        }
+
+        /** What a user who asks for [ref] is told; null for 503. Cancelled jobs are passed on first. */
+        fun read(ref: JobRef): JobStage? {
+            if (!awake || !stateAnswers(this)) return null
+            val (value, mark) = store[Keys.job(ref)] ?: return null
+            val stage = JobRecord.of(value).stage
+            if (stage == JobStage.ABORTED) tellsCancelled(ref, Revision(mark))
+            return stage
+        }
+
+        /** A user calls [ref] off; the answer may be lost, the change late or carried out without an answer. */
+        fun cancel(ref: JobRef): JobStage? {
+            val stage = read(ref) ?: return null
+            if (stage == JobStage.ABORTED || stage == JobStage.DONE) return stage
+            val (value, mark) = store.getValue(Keys.job(ref))
+            val c = StateChange(listOf(Keys.job(ref) to Revision(mark)), listOf(Keys.job(ref) to JobRecord.of(decoded(value)).copy(stage = JobStage.ABORTED).toValue()))
+            if (random.nextDouble() < trouble.lateCommit) {
+                after(random.nextLong(1_000, 12_000)) { commit(c) }
+                return null
+            }
+            if (commit(c) != null || random.nextDouble() < trouble.loseAnswer) return null
+            tellsCancelled(ref, Revision(tide))
+            return JobStage.ABORTED
+        }
+
+        private fun tellsCancelled(ref: JobRef, revision: Revision) {
+            told.note(Cancellation(ref, revision))
+            scheduler?.onCancelled(ref, revision, instant())
         }
     }
 
+    /** Many of the leader's changes go unanswered and are carried out late until then. */
+    private var lateWritesUntil = 0L
+
     private val controllers = List(CONTROLLERS) { Controller(it) }
 
     private fun decoded(v: Map<String, Any?>): Map<String, Any?> {
@@ -606,12 +769,13 @@
         if (random.nextInt(5) == 0) after(random.nextLong(10, 15_000)) { cancel(spec.ref) }
     }
 
+    /** Repeated through any controller until it is answered with a final stage. */
     private fun cancel(ref: JobRef) {
-        val (value, mark) = store[Keys.job(ref)] ?: return
-        val record = JobRecord.of(decoded(value))
-        if (record.isFinal) return
-        val c = StateChange(listOf(Keys.job(ref) to Revision(mark)), listOf(Keys.job(ref) to record.copy(stage = JobStage.ABORTED).toValue()))
-        if (commit(c) == null) rules.cancelTold(ref, now)
+        when (controllers.random(random).cancel(ref)) {
+            JobStage.ABORTED -> rules.cancelTold(ref, now)
+            JobStage.DONE -> rules.tells(ref, JobStage.DONE)
+            else -> after(random.nextLong(1_000, 1_500)) { cancel(ref) }
+        }
     }
 
     // ---- running ----
@@ -639,7 +803,13 @@
 
     /** Plays a history of jobs and troubles, then lets everything settle; returns the jobs that are not final. */
     fun play(jobs: Int, lengthMs: Long): List<JobRef> {
-        controllers.forEach { c -> after(random.nextLong(0, 500)) { c.live(0) } }
+        controllers.forEach { c ->
+            after(random.nextLong(0, 500)) {
+                c.live(0)
+                c.watch(0)
+                c.talk(0)
+            }
+        }
         for (i in 0 until jobs) after(random.nextLong(0, lengthMs / 2)) { submit(i) }
         var troubled = true
         fun up() = workers.values.filter { !it.gone }
@@ -677,9 +847,10 @@
         every(5_000) {
             val asked = controllers.random(random)
             for (ref in submitted) {
-                val answered = now >= asked.loneUntil && tamper != Tamper.NO_ANSWERS
-                rules.asked(ref, answered, now, if (troubled) Long.MAX_VALUE else lengthMs)
-                if (answered) rules.tells(ref, store[Keys.job(ref)]?.let { JobRecord.of(decoded(it.first)).stage })
+                val stage = if (tamper == Tamper.NO_ANSWERS) null else asked.read(ref)
+                rules.asked(ref, stage != null, now, if (troubled) Long.MAX_VALUE else lengthMs)
+                if (stage == JobStage.ABORTED) rules.cancelTold(ref, now)
+                else if (stage != null) rules.tells(ref, stage)
             }
         }
         advance(lengthMs)
