Tests: meetings of two and three troubles in the stand-in world, late copies, told cancellations

New checkers: starts handed out long after a confirmed cancellation, and jobs that wait 90 s though a machine has room once troubles are over. A leader that does not heed its siblings' words is caught in the gap.

--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -13,6 +13,7 @@
 import dewwing.protocol.ListedStage
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
+import dewwing.protocol.Pack
 import dewwing.protocol.Position
 import dewwing.protocol.Report
 import dewwing.protocol.ReportedTask
@@ -444,4 +445,138 @@
         submit(s)
         scheduler.onJobEntry(s.ref, JobRecord(JobStage.ABORTED, s, now), Revision(900), Instant(now))
     }
+
+    /** Guards against a leader whose watch hangs or is refused while a sibling tells users that their job is cancelled. */
+    @Test
+    fun `a cancellation heard of elsewhere kills what runs and keeps back what was logged`() {
+        launchOnM1(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1", running(1))
+        submit(spec(2, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        round()
+        scheduler.onCancelled(JobRef("job-1"), Revision(700), Instant(now))
+        scheduler.onCancelled(JobRef("job-2"), Revision(701), Instant(now))
+        scheduler.onCancelled(JobRef("job-9"), Revision(702), Instant(now))
+        assertEquals(listOf(Command.Kill(TaskRef(JobRef("job-1"), 0), Step(1), 0.0)), report("m-1", running(1)))
+        // What the watch still brings of before changes nothing.
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        assertEquals(emptyList<String>(), logsIn(round()))
+    }
+
+    /** A store that knows keys and revisions, for changes whose copies come late. */
+    private class Store {
+        val keys = HashMap<String, Long>()
+        var tide = 100L
+
+        fun carryOut(c: StateChange): List<String> {
+            val failed = c.conditions.filter { (k, r) -> (keys[k] ?: 0L) != r.value }.map { it.first }
+            if (failed.isNotEmpty()) return failed
+            tide++
+            for ((k, _) in c.puts) keys[k] = tide
+            c.removes.forEach(keys::remove)
+            return emptyList()
+        }
+    }
+
+    /**
+     * Guards against a copy of a change that comes after newer ones of the same leader: a condition on the term alone
+     * would let it put back the record of a rental that was refused, which a successor would order again.
+     */
+    @Test
+    fun `a late copy of a change that went unanswered once puts nothing back`() {
+        val store = Store().apply { keys["term"] = 50 }
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        store.keys["job/job-1"] = 1
+        val copies = ArrayList<StateChange>()
+        var asked = 0
+        repeat(40) {
+            now += 700
+            val effects = scheduler.round(Instant(now)) { true }
+            for (e in effects) {
+                if (e is Effect.Write) {
+                    // Each first copy stays silent; the repeat is carried out.
+                    copies.add(e.change)
+                    scheduler.onUncertain()
+                    assertEquals(emptyList<String>(), store.carryOut(e.change))
+                    scheduler.onWritten(Revision(store.tide), Instant(now))
+                    assertTrue(e.change.puts.size + e.change.removes.size <= 8)
+                }
+                if (e is Effect.Rent) {
+                    asked++
+                    scheduler.onRented(e.key, null, Instant(now))
+                }
+            }
+            val before = store.keys.toMap()
+            for (c in copies.dropLast(1)) assertTrue(store.carryOut(c).isNotEmpty(), "${c.puts} ${c.removes}")
+            assertEquals(before, store.keys)
+        }
+        assertTrue(asked > 1)
+        assertTrue(copies.any { c -> c.removes.any { it.startsWith("rent/") } })
+    }
+
+    /** Guards against a change taken for refused although its first, unanswered copy was carried out. */
+    @Test
+    fun `a change whose first copy was carried out counts as written`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        report("m-1")
+        now += 200
+        val change = scheduler.round(Instant(now)) { true }.filterIsInstance<Effect.Write>().single().change
+        scheduler.onUncertain()
+        assertTrue(scheduler.onRefused(change.conditions.map { it.first }.filter { it.startsWith("log/") }, Instant(now)))
+        assertEquals(1, report("m-1").count { it is Command.Launch })
+        // The fence goes up with the next change, and the one after that stands on the next.
+        val fences = List(2) {
+            submit(spec(2 + it, "c", Urgency.STANDARD, JobShape.ARRAY, Resources(1.0, 0.0, 1.0)))
+            now += 200
+            val c = scheduler.round(Instant(now)) { true }.filterIsInstance<Effect.Write>().single().change
+            scheduler.onWritten(Revision(1_000 + now), Instant(now))
+            c.puts.count { p -> p.first.startsWith("fence/") } to c.conditions.single { p -> p.first.startsWith("fence/") }.first
+        }
+        assertEquals(listOf(1, 0), fences.map { it.first })
+        assertEquals(2, fences.map { it.second }.toSet().size)
+    }
+
+    /**
+     * Guards a team's limit across a change of leader: a task that ended on a machine long unheard had been started anew
+     * on another, which cannot be asked.
+     */
+    @Test
+    fun `a successor goes on counting what a finished job may still have on a machine`() {
+        val wide = spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half)
+        launchOnM1(wide)
+        report("m-1", running(1))
+        report("m-2", ReportedTask(TaskRef(wide.ref, 0), Step(7), TaskStage.ENDED, EndCause.DONE, false))
+        now += 200
+        val done = scheduler.round(Instant(now)) { true }.filterIsInstance<Effect.Write>().single().change.puts.single { it.first == "job/job-1" }
+        // As it comes back from the state service.
+        @Suppress("UNCHECKED_CAST")
+        val record = JobRecord.of(Pack.decode(Pack.encode(done.second)) as Map<String, Any?>)
+        assertEquals(JobStage.DONE, record.stage)
+        val tight = settings.copy(teams = listOf(settings.teams.single().copy(coresMax = 4.0)))
+        val next = Scheduler(tight, Term(6), Revision(60), Instant(now), 0)
+        next.onTypes(listOf(type))
+        next.restoreJob(wide.ref, record, Revision(400))
+        next.restoreLog("log/job-1/000000001", LogRecord(listOf(LogRecord.Placed(MachineId("m-1"), BitSet().apply { set(0) })), BitSet()))
+        next.restored(Instant(now))
+        val other = spec(2, "c", Urgency.STANDARD, JobShape.ARRAY, half)
+        next.onJobEntry(other.ref, JobRecord(JobStage.QUEUED, other, now), Revision(401), Instant(now))
+        fun ask(id: String, beat: Long, vararg tasks: ReportedTask): List<Command> {
+            val r = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, Position(1, beat), Term(6), null, tasks.toList())
+            next.onReport(r, Instant(now))
+            return next.commands(r, Instant(now), mayStart = true)
+        }
+        fun logged(): List<String> {
+            now += 200
+            val effects = next.round(Instant(now)) { true }
+            if (effects.any { it is Effect.Write }) next.onWritten(Revision(2_000 + now), Instant(now))
+            return logsIn(effects)
+        }
+        ask("m-3", 1)
+        assertEquals(emptyList<String>(), logged())
+        // Heard of at last, it is told to end; only then is there room under the limit.
+        assertEquals(listOf(Command.Kill(TaskRef(wide.ref, 0), Step(1), 0.0)), ask("m-1", 900, running(1)))
+        assertEquals(emptyList<String>(), logged())
+        ask("m-1", 901)
+        ask("m-3", 2)
+        assertEquals(listOf("log/job-2/000000001"), logged())
+    }
 }
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -133,6 +133,29 @@
         completed.getOrPut(task.job) { HashSet() }.add(task.index)
     }
 
+    /** The start command was handed to a worker; the time for a watch or a word to arrive is left. */
+    fun launched(task: TaskRef, now: Long) {
+        cancelledAt[task.job]?.let { if (now > it + TOLD_MS) broken.add("started_cancelled: $task handed out ${now - it} ms after") }
+    }
+
+    private val roomSince = HashMap<JobRef, Long>()
+
+    /** Whether a job that still waits could be placed [now]; once troubles are over it must not for 90 s. */
+    fun waits(job: JobRef, withRoom: Boolean, now: Long) {
+        if (!withRoom) {
+            roomSince.remove(job)
+            return
+        }
+        val since = roomSince.getOrPut(job) { now }
+        if (now - since >= WAITED_MS && broken.none { it.startsWith("waits: $job ") }) broken.add("waits: $job with room since $since")
+    }
+
+    fun use(team: String): Double = use[team] ?: 0.0
+
+    fun done(task: TaskRef): Boolean = task.index in (completed[task.job] ?: emptySet())
+
+    fun complete(job: JobRef): Boolean = (completed[job]?.size ?: 0) == specs[job]?.tasks
+
     fun check(now: Long) {
         for (task in onMachine.keys) {
             cancelledAt[task.job]?.let { if (now > it + cancelMs) broken.add("ran_cancelled: $task on a machine at $now") }
@@ -162,10 +185,23 @@
 
     companion object {
         private const val FORGOTTEN_MS = 75_000L
+        private const val WAITED_MS = 90_000L
+
+        /** Words come every half second, a watch that hangs is noticed after six. */
+        private const val TOLD_MS = 3_000L
         private const val LARGEST_BEGIN_MS = 240_000L
     }
 }
 
+/** A trouble that a meeting puts at a chosen moment. */
+enum class Kind {
+    REFUSED_ALONE, OUTAGE, CANCEL_NOW, CANCEL_AT_END, LATE_WRITES, WATCH_HANGS, DEAF, MUTE, HANG, CUT, ZONE_CUT, FREEZE, CRASH,
+    ALL_CRASH, ROLL, LONE, DIE, AWAY,
+}
+
+/** [kind] begins [atMs] into the history and lasts [forMs]. */
+data class Met(val kind: Kind, val atMs: Long, val forMs: Long)
+
 /** What may go wrong, and how often. */
 data class Trouble(
     val crashEveryMs: Long = 20_000,
@@ -282,6 +318,11 @@
         var cutUntil = 0L
         var deafUntil = 0L
 
+        /** It opens no connection to any controller until then, while direct commands reach it. */
+        var muteUntil = 0L
+
+        private fun cutFrom(controller: Int) = now < zoneCutUntil && (zone == CUT_ZONE) != (controller == CUT_CONTROLLER)
+
         fun exit(h: Held, cause: EndCause) {
             if (h.stage == TaskStage.ENDED) return
             h.stage = TaskStage.ENDED
@@ -307,6 +348,7 @@
             when (c) {
                 is Command.Launch -> {
                     if (h != null && h.attempt == c.attempt) return
+                    rules.launched(c.task, now)
                     val n = Held(c.task, c.attempt)
                     val spec = specs[c.task.job]
                     if (h != null || spec == null) {
@@ -337,7 +379,7 @@
             h.stage = TaskStage.RUNNING
             h.on = true
             rules.starts(h.task, id, type.name, zone, spot, now)
-            val run = if (tamper == Tamper.IGNORE_CANCEL || tamper == Tamper.OLD_BOOKS || random.nextInt(12) == 0) random.nextLong(40_000, 60_000) else random.nextLong(500, 9_000)
+            val run = if (now < longRunsUntil) random.nextLong(60_000, 110_000) else if (tamper == Tamper.IGNORE_CANCEL || tamper == Tamper.OLD_BOOKS || random.nextInt(12) == 0) random.nextLong(40_000, 60_000) else random.nextLong(500, 9_000)
             after(run) { finish(h, spec) }
         }
 
@@ -361,6 +403,7 @@
             }
             rules.completes(h.task)
             exit(h, EndCause.DONE)
+            if (now < cancelAtEndUntil && rules.complete(h.task.job)) cancel(h.task.job)
         }
 
         fun take() {
@@ -396,6 +439,11 @@
                 }
                 return
             }
+            if (muteUntil > now || cutFrom(target)) {
+                target = (target + 1) % CONTROLLERS
+                after(1_000) { report() }
+                return
+            }
             if (cutUntil > now) {
                 // Held back and delivered late, while its sender has given up.
                 if (random.nextBoolean()) after(random.nextLong(5_000, 40_000)) { controllers[target].answer(r) }
@@ -690,7 +738,7 @@
             }
         }
 
-        fun crash() {
+        fun crash(backMs: Long = random.nextLong(trouble.backMs, 4_000)) {
             life++
             resign()
             up = false
@@ -699,7 +747,7 @@
             told = ToldCancellations()
             incarnation = Incarnation(random.nextLong())
             val mine = life
-            after(random.nextLong(trouble.backMs, 4_000)) {
+            after(backMs) {
                 if (life != mine) return@after
                 up = true
                 live(mine)
@@ -738,6 +786,62 @@
         }
     }
 
+    /** Zone [CUT_ZONE] with its workers and controller [CUT_CONTROLLER] is cut off from all else until then. */
+    private var zoneCutUntil = 0L
+
+    /** A user calls each job off at the moment of its end until then. */
+    private var cancelAtEndUntil = 0L
+
+    /** What starts before then runs for a minute or more. */
+    var longRunsUntil = 0L
+
+    private fun leading() = controllers.firstOrNull { it.scheduler != null && it.n == holder } ?: controllers.random(random)
+
+    private fun meet(m: Met) {
+        val until = now + m.forMs
+        fun some(share: Int) = workers.values.filter { !it.gone }.shuffled(random).let { it.take(maxOf(1, it.size / share)) }
+        when (m.kind) {
+            Kind.REFUSED_ALONE -> leading().refusedUntil = until
+            Kind.OUTAGE -> outage(m.forMs)
+            Kind.CANCEL_NOW -> submitted.filter { !rules.complete(it) }.shuffled(random).take(8).forEach { ref -> after(random.nextLong(0, 200)) { cancel(ref) } }
+            Kind.CANCEL_AT_END -> cancelAtEndUntil = until
+            Kind.LATE_WRITES -> lateWritesUntil = until
+            Kind.WATCH_HANGS -> leading().watchHungUntil = until
+            Kind.DEAF -> some(3).forEach { it.deafUntil = until }
+            Kind.MUTE -> some(3).forEach { it.muteUntil = until }
+            Kind.HANG -> some(3).forEach { it.hungUntil = until }
+            Kind.CUT -> some(3).forEach { it.cutUntil = until }
+            Kind.ZONE_CUT -> {
+                zoneCutUntil = until
+                controllers[CUT_CONTROLLER].loneUntil = until
+            }
+            Kind.FREEZE -> leading().frozenUntil = until
+            Kind.CRASH -> leading().crash()
+            Kind.ALL_CRASH -> controllers.forEach { it.crash() }
+            Kind.ROLL -> controllers.forEachIndexed { i, c -> after(i * m.forMs / CONTROLLERS) { c.crash() } }
+            Kind.LONE -> leading().loneUntil = until
+            Kind.DIE -> some(4).forEach { it.take() }
+            // Longer than a lease; one is back within a moment, the others later.
+            Kind.AWAY -> controllers.forEachIndexed { i, c -> c.crash(backMs = LEASE_MS + 2_000L + i * 1_500L) }
+        }
+    }
+
+    /** Whether a task of [ref] waits while a machine that fits has room and its team is under its limit. */
+    private fun waitsWithRoom(ref: JobRef): Boolean {
+        val spec = specs.getValue(ref)
+        if (spec.shape == JobShape.GANG || store[Keys.job(ref)]?.let { JobRecord.of(decoded(it.first)).isFinal } != false) return false
+        val there = workers.values.filter { !it.gone }
+        val held = there.flatMap { w -> w.held.values.filter { it.stage != TaskStage.ENDED && it.task.job == ref } }
+        if ((0 until spec.tasks).all { i -> rules.done(TaskRef(ref, i)) || held.any { it.task.index == i } }) return false
+        if (rules.use(spec.team) + spec.need.cores > cap) return false
+        val zones = held.mapNotNull { h -> there.firstOrNull { h in it.held.values }?.zone }.toSet()
+        return there.any { w ->
+            val used = w.held.values.filter { it.stage != TaskStage.ENDED }.sumOf { specs[it.task.job]?.need?.cores ?: 0.0 }
+            (spec.types == null || w.type.name in spec.types) && (spec.zone == null || spec.zone == w.zone) && (!w.spot || spec.spot) &&
+                (!spec.oneZone || zones.isEmpty() || w.zone in zones) && w.type.size.cores - used >= spec.need.cores
+        }
+    }
+
     /** Many of the leader's changes go unanswered and are carried out late until then. */
     private var lateWritesUntil = 0L
 
@@ -802,7 +906,8 @@
     }
 
     /** Plays a history of jobs and troubles, then lets everything settle; returns the jobs that are not final. */
-    fun play(jobs: Int, lengthMs: Long): List<JobRef> {
+    fun play(jobs: Int, lengthMs: Long, meeting: List<Met> = emptyList()): List<JobRef> {
+        for (m in meeting) after(m.atMs) { meet(m) }
         controllers.forEach { c ->
             after(random.nextLong(0, 500)) {
                 c.live(0)
@@ -837,7 +942,10 @@
             most = maxOf(most, up().size)
             up().forEach { it.checkLease() }
         }
-        every(1_000) { rules.check(now) }
+        every(1_000) {
+            rules.check(now)
+            if (!troubled) for (ref in submitted) rules.waits(ref, waitsWithRoom(ref), now)
+        }
         every(4_000) {
             val list = workers.values.filter { !it.gone }.map {
                 ListedMachine(it.id, it.type.name, it.zone, it.spot, ListedStage.RUNNING, 10.0)
@@ -871,6 +979,8 @@
         const val CANCEL_MS = 35_000L
         private const val HOLD_MS = 2_500L
         private const val CONTROLLERS = 3
+        private const val CUT_ZONE = "a"
+        private const val CUT_CONTROLLER = 0
         private const val SETTLE_MS = 400_000L
     }
 }
