Jobs that fail everywhere no longer cost others their work or machines their name

Found by the test of it: room was kept for a job on machines that it avoids, so the place stayed empty, time after time ('makes room: 0 tasks stopped'). A job that failed on more than three machines without a finished task is suspect: it stops nobody's work, holds no limit, guarantee, order of rank or machines ahead, is tried one task at a time, and the machines are acquitted. Ruled out: condemning of machines alone (one machine of 260).

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -428,13 +428,23 @@
     private fun blame(m: Machine, job: Job, now: Instant) {
         job.failed(now)
         job.failedOn(m.id.value)
-        if (job.machinesFailed <= JOB_FAULT_MACHINES) m.failedJobs.add(job.ref.value)
+        if (job.isSuspect) acquit(job)
+        else if (job.machinesFailed <= Job.SOUND_JOB_MACHINES) m.failedJobs.add(job.ref.value)
         if (m.failedJobs.size >= FAULTY_AFTER_JOBS && !m.faulty) {
             log.info("machine {} is taken for faulty: {} jobs failed on it", m.id, m.failedJobs.size)
             m.faulty = true
         }
     }
 
+    /** The machines were blamed for what is the job's own fault; two such jobs would condemn every machine both met. */
+    private fun acquit(job: Job) {
+        for (m in machines.values) {
+            if (!m.failedJobs.remove(job.ref.value) || !m.faulty || m.failedJobs.size >= FAULTY_AFTER_JOBS) continue
+            log.info("machine {} is not taken for faulty any more: job {} fails everywhere", m.id, job.ref)
+            m.faulty = false
+        }
+    }
+
     /** The cloud takes the machine back: what can save does so now, the rest runs on as long as it can. */
     private fun drain(m: Machine, now: Instant) {
         val left = (m.noticeAt ?: return) - now
@@ -700,7 +710,7 @@
             }
             if (job !in waitingJobs || now < job.notBefore) continue
             if (Keys.job(job.ref) in b.conditions) continue
-            val urgent = job.madeRoomAt == null && job.live.isEmpty() && fleet.cannotWaitForBoot(job.spec)
+            val urgent = job.madeRoomAt == null && job.live.isEmpty() && !job.isSuspect && fleet.cannotWaitForBoot(job.spec)
             var placements = emptyList<Placement>()
             if (urgent && fleet.fetchMissesStart(job.spec)) {
                 // Fetching its image alone would make it late: machines that have it come first, made free if need be.
@@ -711,7 +721,7 @@
             if (placements.isEmpty()) {
                 if (urgent) makeRoom(job, openings.stoppableFor(job, preemption), now)
                 // Lower ranks must not take the machine that this gang is next to get.
-                if (job.isGang && job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks) openings.reserve(job)
+                if (job.isGang && job.live.isEmpty() && !job.isSuspect && quota.room(job.spec) >= job.spec.tasks) openings.reserve(job)
                 continue
             }
             logStep(b, job, placements, now)
@@ -728,7 +738,7 @@
      */
     private fun placeOverflow(b: Batch, room: Int, order: List<Job>, openings: Openings, now: Instant) {
         val late = order.filter { job ->
-            job in waitingJobs && !job.isGang && job.spec.need.accelerators <= 0 && now >= job.notBefore &&
+            job in waitingJobs && !job.isGang && !job.isSuspect && job.spec.need.accelerators <= 0 && now >= job.notBefore &&
                 (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0 >= fleet.horizonS(job.spec.jobClass, job.spec.estimateS) * OVERFLOW_AFTER
         }
         if (late.isEmpty()) return
@@ -795,8 +805,9 @@
         val pending = if (job.isGang) job.spec.tasks else job.pending.cardinality()
         var limit = minOf(pending, quota.room(job.spec), if (job.isGang) pending else MAX_TASKS_PER_STEP)
         if (job.isGang && limit < job.spec.tasks) limit = 0
-        if (limit == 0) {
-            if (job.isGang) quota.hold(job.spec)
+        if (job.isSuspect && !job.isGang) limit = minOf(limit, 1 - job.live.size)
+        if (limit <= 0) {
+            if (job.isGang && !job.isSuspect) quota.hold(job.spec)
             wait(job, "its team's limit")
             return emptyList()
         }
@@ -919,10 +930,10 @@
     private fun ranking(now: Instant): List<Job> {
         ranked?.let { if (now - rankedAt < RANK_EVERY) return it }
         val inOrder = jobs.values.sortedWith(compareBy({ it.submittedAtMs }, { it.ref.value }))
-        val guaranteed = quota.guaranteed(inOrder)
+        val guaranteed = quota.guaranteed(inOrder.filterNot { it.isSuspect })
         val overdue = HashMap<String, Long>()
         for (job in inOrder) {
-            if (job.live.isEmpty() && job.doneCount == 0 && now.ms + wallOffsetMs - job.submittedAtMs > AGED.ms) {
+            if (job.live.isEmpty() && job.doneCount == 0 && !job.isSuspect && now.ms + wallOffsetMs - job.submittedAtMs > AGED.ms) {
                 overdue[job.spec.jobClass] = job.submittedAtMs
             }
         }
@@ -996,7 +1007,6 @@
         private val OVERFLOW_KEEP = Span(45_000)
         private val KEEP_ROOM = Span(15_000)
         private const val FAULTY_AFTER_JOBS = 2
-        private const val JOB_FAULT_MACHINES = 3
         private const val FORGET_MS = 60_000L
         private val DONE_LOG_DELAY = Span(2_000)
     }
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -192,7 +192,7 @@
         if (!listed && now - since < settlesWithin) return
         val bins = bins(now)
         effort.look(machines.size + ranked.size)
-        val wanted = demand(ranked, wallNowMs)
+        val wanted = demand(ranked, now, wallNowMs)
         wanted.map { it.first.spec.need }.reduceOrNull(Resources::least)?.let { least ->
             // Most machines are full most of the time: no job needs to look at those.
             val open = bins.filterTo(ArrayList()) { it.free.holds(least) }
@@ -278,14 +278,17 @@
      * Tasks of each job that should get a place of their own now. Gangs: all. Arrays: as many places as let the
      * class's jobs, oldest first, start in a share of the time their objectives give.
      */
-    private fun demand(ranked: List<Job>, wallNowMs: Long): List<Pair<Job, Int>> {
+    private fun demand(ranked: List<Job>, now: Instant, wallNowMs: Long): List<Pair<Job, Int>> {
         val out = ArrayList<Pair<Job, Int>>()
         val arrays = LinkedHashMap<String, MutableList<Job>>()
         for (job in ranked) {
             if (!job.isOpen || job.isComplete) continue
+            if (job.isSuspect && now < job.notBefore) continue
             if (job.isGang) {
                 val placeable = job.live.isEmpty() && quota.room(job.spec) >= job.spec.tasks
                 if (placeable && job.madeRoomAt == null) out.add(job to job.spec.tasks)
+            } else if (job.isSuspect) {
+                if (job.live.isEmpty()) out.add(job to 1)
             } else if (job.spec.shape == JobShape.SERVICE) {
                 out.add(job to minOf(job.pending.cardinality(), quota.room(job.spec)))
             } else {
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -92,6 +92,12 @@
         machinesFailed++
         if (failedOn.size > FAILED_KEPT) failedOn.remove(failedOn.first())
     }
+
+    /**
+     * It has failed on machine after machine and nothing of it has ever finished, so it was most likely submitted with a
+     * mistake. It stays and is tried, one task at a time, until its user ends it, but nobody else is to pay for that.
+     */
+    val isSuspect: Boolean get() = doneCount == 0 && machinesFailed > SOUND_JOB_MACHINES
     var finalAt: Instant? = null
     var waitReason: String? = null
 
@@ -153,6 +159,9 @@
 
     companion object {
         private const val FAILED_KEPT = 3
+
+        /** A sound job may meet so many faulty machines. */
+        const val SOUND_JOB_MACHINES = 3
         private const val FIRST_BACKOFF_MS = 500L
         private const val MAX_BACKOFF_SHIFT = 6
     }
--- a/src/main/kotlin/dewwing/control/core/placement/Openings.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Openings.kt
@@ -71,7 +71,8 @@
                 group.all.filter { m -> m in roomySet || m.attempts.values.any { preemption.mayStop(it, job.spec.urgency) } }
             }
             effort.look(some.size)
-            for (m in some) if (open(m, job)) out.add(m)
+            // Room kept where the job has failed before would be used by nobody: it is not placed there.
+            for (m in some) if (open(m, job) && m.id.value !in job.failedOn) out.add(m)
         }
         return out
     }
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -149,6 +149,37 @@
         assertEquals(503, api.post(Wire.JOBS, job("job-2")).status)
     }
 
+    /** Each field of a submission in turn: missing, of another type, out of range. None is accepted, none ends as known. */
+    @Test
+    fun `a submission with any field missing or wrong is malformed, and one that is known is answered by its id alone`() = withApi { api, standIn, _ ->
+        val mayBeNull = setOf("perchKinds", "meadow", "dueS")
+        val wrong = mapOf<String, List<Any?>>(
+            "ref" to listOf(7, "", "job-", "JOB-1", "job-1/2", "job-1 "), "flock" to listOf(1, ""), "roost" to listOf(false, ""),
+            "shape" to listOf("array", 1), "urgency" to listOf("urgent", 2), "drops" to listOf(0, -1, 100_001, 2.5, "3", true),
+            "cores" to listOf("2", -1.0, Double.NaN, Double.POSITIVE_INFINITY), "accelerators" to listOf("0", -0.5), "memoryGb" to listOf(true, -4),
+            "seed" to listOf(3, ""), "sizeGb" to listOf("1", -1.0), "perchKinds" to listOf("k", emptyList<String>(), listOf(1), listOf("k".repeat(300))),
+            "meadow" to listOf(1, "a".repeat(300)), "together" to listOf("no", 0), "apart" to listOf(1), "windfall" to listOf("yes"),
+            "expectS" to listOf("5", -5.0, Double.NaN), "dewS" to listOf(-1, "0"), "settleS" to listOf(-1.0, "0"), "dueS" to listOf("soon", -1.0),
+        )
+        assertEquals(job().keys, wrong.keys)
+        for ((name, values) in wrong) {
+            if (name !in mayBeNull) assertEquals(400, api.post(Wire.JOBS, job("job-9").apply { remove(name) }).status, "$name missing")
+            for (value in values) {
+                val answer = api.post(Wire.JOBS, job("job-9", name to value))
+                assertEquals(400, answer.status, "$name = $value")
+                if (name != "ref") assertTrue(Pack.decodeMap(answer.body).text("error").contains(name), "$name = $value")
+            }
+        }
+        assertEquals(false, "job/job-9" in standIn.values)
+        // Fields that nobody knows are ignored; null and absent are one.
+        assertEquals(201, api.post(Wire.JOBS, job("job-1", "unknown" to listOf(1), "dueS" to null)).status)
+        standIn.values["job/job-9"] = mapOf("stage" to "done", "at" to 1) to 80L
+        for ((name, values) in wrong) for (value in values) {
+            if (name != "ref") assertEquals("done", stage(api.post(Wire.JOBS, job("job-9", name to value))), "$name = $value")
+        }
+        assertEquals("done", stage(api.post("/api/jobs/job-9/cancel", emptyMap<String, Any?>())))
+    }
+
     /** Guards against a crowd of users that takes the requests with which the leader renews its hold. */
     @Test
     fun `more queries than the rate allows are told at once to come back, and refuse no submission`() = withApi(requests = 3.0) { api, _, _ ->
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -579,4 +579,60 @@
         ask("m-3", 2)
         assertEquals(listOf("log/job-2/000000001"), logged())
     }
+
+    /** Machines that do as they are told; starts of [mistaken] jobs fail at once. */
+    private inner class Machines(count: Int, private val mistaken: Set<Int>) {
+        private val held = LinkedHashMap<String, LinkedHashMap<TaskRef, ReportedTask>>().apply { for (i in 0 until count) put("m-$i", LinkedHashMap()) }
+        var kills = 0
+        val starts = HashMap<Int, Int>()
+
+        private fun number(task: TaskRef) = task.job.value.removePrefix("job-").toInt()
+
+        fun running(job: Int) = held.values.sumOf { m -> m.values.count { number(it.task) == job && it.stage == TaskStage.RUNNING } }
+
+        fun turns(n: Int) = repeat(n) {
+            now += 1_000
+            for ((id, tasks) in held) for (c in report(id, *tasks.values.toTypedArray())) {
+                when (c) {
+                    is Command.Launch -> {
+                        starts.merge(number(c.task), 1, Int::plus)
+                        tasks[c.task] = if (number(c.task) in mistaken) ReportedTask(c.task, c.attempt, TaskStage.ENDED, EndCause.ERROR, false)
+                        else ReportedTask(c.task, c.attempt, TaskStage.RUNNING, null, false)
+                    }
+                    is Command.Kill -> if (tasks.remove(c.task) != null) kills++
+                    is Command.Reap -> tasks.remove(c.task)
+                }
+            }
+            round()
+        }
+    }
+
+    /**
+     * Guards what others pay for jobs that fail on every machine (incident inc-de13 of kuulda-cast-ops): one mistaken gang
+     * stopped eight tasks of others for each of its tries, and two such jobs had a sound machine returned.
+     */
+    @Test
+    fun `a job that fails everywhere makes no room, is tried one task at a time and condemns no machine`() {
+        val machines = Machines(6, mistaken = setOf(1, 2, 4))
+        // One small task on each machine keeps it from being returned.
+        submit(spec(8, "c", Urgency.STANDARD, JobShape.ARRAY, Resources(0.5, 0.0, 40.0)).copy(tasks = 6))
+        machines.turns(4)
+        assertEquals(6, machines.running(8))
+        // The second meets the same machines: blamed on them, two failed jobs would make them faulty.
+        for (id in 1..2) {
+            submit(spec(id, "c", Urgency.STANDARD, JobShape.ARRAY, half).copy(tasks = 12))
+            machines.turns(40)
+            assertTrue(machines.starts.getValue(id) in 6..16, "${machines.starts}")
+        }
+        submit(spec(3, "c", Urgency.STANDARD, JobShape.ARRAY, half).copy(tasks = 6))
+        machines.turns(5)
+        assertEquals(6, machines.running(3), "every machine still takes work")
+        assertEquals(0, machines.kills)
+        // A mistaken gang that may stop others' work does so for its first few tries only.
+        submit(spec(4, "urgent", Urgency.HIGH, JobShape.GANG, half))
+        machines.turns(150)
+        assertTrue(machines.kills in 1..4, "${machines.kills} tasks stopped")
+        assertTrue(machines.starts.getValue(4) in 3..12, "${machines.starts}")
+        assertEquals(6, machines.running(3))
+    }
 }
--- a/src/test/kotlin/dewwing/world/MeetingsTest.kt
+++ b/src/test/kotlin/dewwing/world/MeetingsTest.kt
@@ -66,6 +66,18 @@
         for (seed in 2_000L..2_080L) play(seed, meeting(List(3) { Kind.entries.random(random) }, random), longRuns = seed % 2 == 0L)
     }
 
+    /** Guards against sound jobs that pay for those submitted with a mistake. */
+    @Test
+    fun `jobs that fail on every machine end by their users, and the others are served meanwhile`() {
+        for (seed in 1L..8L) {
+            val world = World(seed, little.copy(mistaken = 0.3, errorShare = 0.02, crashEveryMs = 40_000), cap = 40.0)
+            val open = world.play(40, 160_000)
+            assertEquals(emptyList<String>(), world.rules.broken, "seed $seed")
+            assertEquals(emptyList<Any>(), open, "seed $seed")
+            assertEquals(emptyList<String>(), world.rules.served(), "seed $seed")
+        }
+    }
+
     @Test
     fun `ten changes of leader in two minutes break no rule, inside an outage too`() {
         for (seed in 1L..8L) {
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -225,6 +225,8 @@
     val rollEveryMs: Long = NEVER,
     /** The longest time that a new leader takes to read the state service; it answers reports meanwhile. */
     val rebuildMs: Long = 0,
+    /** Share of jobs that fail on every machine until their users end them. */
+    val mistaken: Double = 0.0,
 ) {
     companion object {
         const val NEVER = Long.MAX_VALUE / 64
@@ -379,13 +381,13 @@
             h.stage = TaskStage.RUNNING
             h.on = true
             rules.starts(h.task, id, type.name, zone, spot, now)
-            val run = if (now < longRunsUntil) random.nextLong(60_000, 110_000) else if (tamper == Tamper.IGNORE_CANCEL || tamper == Tamper.OLD_BOOKS || random.nextInt(12) == 0) random.nextLong(40_000, 60_000) else random.nextLong(500, 9_000)
+            val run = if (h.task.job in mistaken) random.nextLong(200, 2_000) else if (now < longRunsUntil) random.nextLong(60_000, 110_000) else if (tamper == Tamper.IGNORE_CANCEL || tamper == Tamper.OLD_BOOKS || random.nextInt(12) == 0) random.nextLong(40_000, 60_000) else random.nextLong(500, 9_000)
             after(run) { finish(h, spec) }
         }
 
         private fun finish(h: Held, spec: JobSpec) {
             if (!awake(h) { finish(h, spec) }) return
-            if (random.nextDouble() < trouble.errorShare) {
+            if (h.task.job in mistaken || random.nextDouble() < trouble.errorShare) {
                 exit(h, EndCause.ERROR)
                 return
             }
@@ -854,6 +856,7 @@
 
     // ---- users ----
     private val submitted = ArrayList<JobRef>()
+    private val mistaken = HashSet<JobRef>()
 
     private fun submit(i: Int) {
         val gang = random.nextInt(4) == 0
@@ -870,6 +873,11 @@
         submitted.add(spec.ref)
         val record = JobRecord(if (tamper == Tamper.DONE_EARLY && i == 3) JobStage.DONE else JobStage.QUEUED, spec, now)
         commit(StateChange(listOf(Keys.job(spec.ref) to Revision.ABSENT), listOf(Keys.job(spec.ref) to record.toValue())))
+        if (trouble.mistaken > 0 && random.nextDouble() < trouble.mistaken) {
+            mistaken.add(spec.ref)
+            after(random.nextLong(60_000, 200_000)) { cancel(spec.ref) }
+            return
+        }
         if (random.nextInt(5) == 0) after(random.nextLong(10, 15_000)) { cancel(spec.ref) }
     }
 
