--- a/src/main/kotlin/dewwing/control/app/Main.kt
+++ b/src/main/kotlin/dewwing/control/app/Main.kt
@@ -91,7 +91,7 @@
 
 private const val BAD_SETTINGS = 2
 
-const val VERSION = "0.3.0"
+const val VERSION = "0.4.0"
 
 /** Runs a controller until the process is killed: one thread for everything, one for the socket selector. */
 private fun serve(settings: Settings, tunables: Tunables, options: Options) {
