A spread job counts tasks on machines of unknown zone in every zone

Test: 'tasks on machines whose zone is not known count in every zone'. Ruled out: jobs that must stay in one zone wait until it is known.

--- a/src/main/kotlin/dewwing/control/core/placement/Placement.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Placement.kt
@@ -58,7 +58,9 @@
         val spec = job.spec
         val perZone = HashMap<String, Int>()
         if (spread) for (a in job.live.values) perZone.merge(a.machine.zone, 1, Int::plus)
-        val zoneCap = if (spread) (spec.tasks + 1) / 2 else Int.MAX_VALUE
+        // Where a machine that only a log names stands is not known: its tasks may be in any zone.
+        val somewhere = if (spread) perZone.remove("") ?: 0 else 0
+        val zoneCap = if (spread) (spec.tasks + 1) / 2 - somewhere else Int.MAX_VALUE
         val out = ArrayList<Placement>()
         var missing = limit
         // What is put on one machine changes no other one's rank, so one ordering serves all tasks.
--- a/src/test/kotlin/dewwing/control/core/CoreTest.kt
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -287,6 +287,24 @@
         assertEquals(2, placed.filter { it.machine.zone == "b" }.sumOf { it.count })
     }
 
+    /** Guards a spread job through a change of leader: what its log names may be on machines that nobody has heard of yet. */
+    @Test
+    fun `tasks on machines whose zone is not known count in every zone`() {
+        val machines = listOf(machine(0, "a"), machine(1, "b"))
+        val job = Job(spec(5, spread = true), Revision(1), 0)
+        val unheard = Machine(MachineId("m-9"), at(0))
+        for (t in 0..1) Attempt(job, t, Step(1), unheard, AttemptPhase.INHERITED).let {
+            job.attach(it)
+            unheard.attach(it)
+        }
+        val placed = Placer.place(job, machines, 3)
+        assertEquals(mapOf("a" to 1, "b" to 1), placed.associate { it.machine.zone to it.count })
+        // Nor may a job that must stay in one zone begin in another.
+        val together = Job(spec(5, oneZone = true), Revision(1), 0)
+        together.attach(Attempt(together, 0, Step(1), unheard, AttemptPhase.INHERITED))
+        assertTrue(Placer.place(together, machines, 4).isEmpty())
+    }
+
     @Test
     fun `machines with accelerators are left to those that need them while others would do`() {
         val plain = type.copy(name = "p", size = Resources(4.0, 0.0, 32.0))
