--- a/src/test/kotlin/dewwing/world/MeetingsTest.kt
+++ b/src/test/kotlin/dewwing/world/MeetingsTest.kt
@@ -1,5 +1,7 @@
 package dewwing.world
 
+import dewwing.protocol.JobRef
+import dewwing.protocol.TaskRef
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -85,4 +87,23 @@
             play(seed, changes + Met(Kind.OUTAGE, 70_000 + seed * 1_000, 20_000) + Met(Kind.CANCEL_NOW, 65_000 + seed * 2_000, 0))
         }
     }
+
+    /** The job is never placed, though machines stand idle and are kept. */
+    @Test
+    fun `a job left waiting while there is room is caught`() {
+        val broken = (1L..3L).flatMap { play(it, emptyList(), World.Tamper.STARVE_BESIDE_ROOM, longRuns = false).rules.broken }
+        assertTrue(broken.any { it.startsWith("waits") }, "$broken")
+    }
+
+    @Test
+    fun `a start handed out long after its job's cancellation was confirmed is caught, one just after is not`() {
+        val rules = Rules(emptyMap(), 35_000)
+        val task = TaskRef(JobRef("job-1"), 0)
+        rules.launched(task, 1_000)
+        rules.cancelTold(task.job, 2_000)
+        rules.launched(task, 5_000)
+        assertTrue(rules.broken.none { it.startsWith("started_cancelled") })
+        rules.launched(task, 5_001)
+        assertTrue(rules.broken.last().startsWith("started_cancelled"))
+    }
 }
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -5,6 +5,7 @@
 import dewwing.control.core.RentOrder
 import dewwing.control.core.Scheduler
 import dewwing.control.core.StateChange
+import dewwing.control.core.Tunables
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
@@ -248,7 +249,7 @@
     private val cap: Double = 24.0,
     private val largest: Int = 12,
 ) {
-    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE, NO_ANSWERS, STARVE_LARGE, LEAD_ALONE, OLD_BOOKS, DEAF_TO_WORDS }
+    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE, NO_ANSWERS, STARVE_LARGE, LEAD_ALONE, OLD_BOOKS, DEAF_TO_WORDS, STARVE_BESIDE_ROOM }
 
     private val random = Random(seed)
     private val events = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
@@ -298,7 +299,7 @@
         if (holdUntil > now) holdUntil = maxOf(holdUntil, outageUntil + 1)
     }
 
-    private fun starved(record: JobRecord) = tamper == Tamper.STARVE_LARGE && (record.spec?.tasks ?: 0) > 8
+    private fun starved(record: JobRecord) = (tamper == Tamper.STARVE_LARGE || tamper == Tamper.STARVE_BESIDE_ROOM) && (record.spec?.tasks ?: 0) > 8
 
     // ---- workers ----
     private inner class Held(val task: TaskRef, val attempt: Step) {
@@ -651,6 +652,7 @@
                 listOf(team.copy(coresMax = cap)),
                 listOf(Objective(ObjectiveKind.WAIT, "c", 10.0, 0.9)),
                 workersTimes.copy(lease = lease), StateLimits(200.0, 25.0, 4096, 8), CloudLimits(4.0, Span(3_000)),
+                if (tamper == Tamper.STARVE_BESIDE_ROOM) Tunables(idleKeep = Span(Trouble.NEVER)) else Tunables(),
             )
             val s = Scheduler(core, Term(t), Revision(store.getValue(Keys.TERM).second), instant(), 0)
             s.onTypes(types)
