--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -41,11 +41,16 @@
     suspend fun relay(request: HttpRequest): HttpAnswer?
 
     /** To be called before a user is told that [job] is cancelled; [revision] is that of its record. */
-    fun tellsCancelled(job: JobRef, revision: Revision)
+    fun tellsCancelled(
+        job: JobRef,
+        revision: Revision,
+    )
 
     /** Display counts, from whoever leads; null when unknown. */
     suspend fun counts(ref: JobRef): JobCounts?
+
     fun now(): Instant
+
     fun wallMs(): Long
 }
 
@@ -62,11 +67,18 @@
     private val requests: TokenBucket,
     private val maxValueBytes: Int,
 ) {
-    private val finals: Cache<String, JobStage> = Caffeine.newBuilder().maximumSize(FINALS_KEPT)
-        .executor(Runnable::run).build()
+    private val finals: Cache<String, JobStage> =
+        Caffeine
+            .newBuilder()
+            .maximumSize(FINALS_KEPT)
+            .executor(Runnable::run)
+            .build()
     private var inFlight = 0
 
-    suspend fun handle(request: HttpRequest, relayed: Boolean): HttpAnswer {
+    suspend fun handle(
+        request: HttpRequest,
+        relayed: Boolean,
+    ): HttpAnswer {
         val path = request.path
         if (path == Wire.JOBS) {
             if (request.method != "POST") return notAllowed("POST")
@@ -86,11 +98,14 @@
         return guarded(request, relayed) { query(ref) }
     }
 
-    private fun notAllowed(method: String) =
-        HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
+    private fun notAllowed(method: String) = HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
 
     /** Bounds what waits for the state service, and turns to a sibling when only this controller is refused by it. */
-    private suspend fun guarded(request: HttpRequest, relayed: Boolean, block: suspend () -> HttpAnswer): HttpAnswer {
+    private suspend fun guarded(
+        request: HttpRequest,
+        relayed: Boolean,
+        block: suspend () -> HttpAnswer,
+    ): HttpAnswer {
         if (inFlight >= MAX_IN_FLIGHT) return HttpAnswer.error(503, "busy", RETRY_S)
         inFlight++
         try {
@@ -127,11 +142,12 @@
         } catch (e: MalformedException) {
             return HttpAnswer.error(400, e.message ?: "malformed")
         }
-        val spec = try {
-            Wire.jobSpec(fields)
-        } catch (e: MalformedException) {
-            return knownOr(Wire.submissionRef(fields), HttpAnswer.error(400, e.message ?: "malformed"))
-        }
+        val spec =
+            try {
+                Wire.jobSpec(fields)
+            } catch (e: MalformedException) {
+                return knownOr(Wire.submissionRef(fields), HttpAnswer.error(400, e.message ?: "malformed"))
+            }
         if (host.machineTypes.isEmpty()) {
             return knownOr(spec.ref, HttpAnswer.error(503, "machine types are not known yet", RETRY_S))
         }
@@ -144,12 +160,13 @@
         if (!changes.tryTake(host.now(), 1.0)) return knownOr(spec.ref, HttpAnswer.error(429, "too many", RETRY_S))
         val change = StateChange(listOf(Keys.job(spec.ref) to Revision.ABSENT), listOf(Keys.job(spec.ref) to value))
         // Without an answer the record may exist or not: the same conditional change again tells.
-        val result = try {
-            state.commit(change)
-        } catch (e: StateUnavailableException) {
-            if (e.certainlyNot) throw e
-            state.commit(change)
-        }
+        val result =
+            try {
+                state.commit(change)
+            } catch (e: StateUnavailableException) {
+                if (e.certainlyNot) throw e
+                state.commit(change)
+            }
         return when (result) {
             is CommitResult.Applied -> HttpAnswer.of(201, Wire.jobAnswer(spec.ref, JobStage.QUEUED))
             else -> knownOr(spec.ref, HttpAnswer.error(503, "try again", RETRY_S))
@@ -157,30 +174,37 @@
     }
 
     /** The job's state if it was accepted before, whatever this request looks like; else [answer]. */
-    private suspend fun knownOr(ref: JobRef?, answer: HttpAnswer): HttpAnswer {
+    private suspend fun knownOr(
+        ref: JobRef?,
+        answer: HttpAnswer,
+    ): HttpAnswer {
         if (ref == null) return answer
         val stage = read(ref)?.first?.stage ?: return answer
         return HttpAnswer.of(200, Wire.jobAnswer(ref, stage))
     }
 
-    private fun cannotEverRun(spec: JobSpec): String? = when {
-        !quota.knows(spec.team) -> "unknown team ${spec.team}"
-        host.machineTypes.none { fits(spec, it) } -> "no allowed machine type can hold a task"
-        !quota.canEverRun(spec) -> "more than the team's limit"
-        else -> null
-    }
+    private fun cannotEverRun(spec: JobSpec): String? =
+        when {
+            !quota.knows(spec.team) -> "unknown team ${spec.team}"
+            host.machineTypes.none { fits(spec, it) } -> "no allowed machine type can hold a task"
+            !quota.canEverRun(spec) -> "more than the team's limit"
+            else -> null
+        }
 
-    private fun fits(spec: JobSpec, type: MachineType): Boolean =
-        Placer.typeAllowed(spec, type) && (spec.zone == null || spec.zone in type.zones)
+    private fun fits(
+        spec: JobSpec,
+        type: MachineType,
+    ): Boolean = Placer.typeAllowed(spec, type) && (spec.zone == null || spec.zone in type.zones)
 
     private suspend fun read(ref: JobRef): Pair<JobRecord, Revision>? {
         val entry = state.get(Keys.job(ref)) ?: return null
-        val record = try {
-            JobRecord.of(entry.value ?: return null)
-        } catch (e: MalformedException) {
-            // The job is known, whatever happened to its record: neither 404 nor an end of this process.
-            throw StateUnavailableException("record of $ref cannot be read: ${e.message}", certainlyNot = false)
-        }
+        val record =
+            try {
+                JobRecord.of(entry.value ?: return null)
+            } catch (e: MalformedException) {
+                // The job is known, whatever happened to its record: neither 404 nor an end of this process.
+                throw StateUnavailableException("record of $ref cannot be read: ${e.message}", certainlyNot = false)
+            }
         if (record.stage == JobStage.ABORTED) host.tellsCancelled(ref, entry.revision)
         if (record.isFinal) finals.put(ref.value, record.stage)
         return record to entry.revision
--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -70,28 +70,32 @@
     /** This controller's part of the state service's request rate. */
     private val requestsPerS = settings.stateLimits.requestsPerS * REQUEST_SHARE / nodes
 
-    private val state = StateClient(
-        http = HttpClient(selector, settings.state, maxIdle = 8),
-        watches = HttpClient(selector, settings.state, maxIdle = 1),
-        requests = TokenBucket(requestsPerS, requestsPerS),
-        clock = ::now,
-        onOutcome = { call, outcome -> metrics.called("state", call, outcome) },
-    )
-    private val cloud = CloudClient(
-        http = HttpClient(selector, settings.cloud, maxIdle = 2),
-        requests = TokenBucket(settings.cloudLimits.requestsPerS * CLOUD_SHARE, settings.cloudLimits.requestsPerS),
-        clock = ::now,
-        onOutcome = { call, outcome -> metrics.called("cloud", call, outcome) },
-    )
+    private val state =
+        StateClient(
+            http = HttpClient(selector, settings.state, maxIdle = 8),
+            watches = HttpClient(selector, settings.state, maxIdle = 1),
+            requests = TokenBucket(requestsPerS, requestsPerS),
+            clock = ::now,
+            onOutcome = { call, outcome -> metrics.called("state", call, outcome) },
+        )
+    private val cloud =
+        CloudClient(
+            http = HttpClient(selector, settings.cloud, maxIdle = 2),
+            requests = TokenBucket(settings.cloudLimits.requestsPerS * CLOUD_SHARE, settings.cloudLimits.requestsPerS),
+            clock = ::now,
+            onOutcome = { call, outcome -> metrics.called("cloud", call, outcome) },
+        )
     private val workers = WorkerClient(selector) { call, outcome -> metrics.called("worker", call, outcome) }
     private val peers = settings.siblings.associate { it.name to PeerClient(selector, it.endpoint) }
     private val words = HashMap<String, SiblingWord>()
     private val workersAt = HashMap<String, Boolean>()
-    private val leadership = Leadership(
-        LeadershipTimes.of(settings.workers, options.holdTtl, Span(minOf(WORD_AGE_MS, tunables.outageBound.ms)))
-            .also(::warnOfNoRoom),
-        siblings = peers.keys,
-    )
+    private val leadership =
+        Leadership(
+            LeadershipTimes
+                .of(settings.workers, options.holdTtl, Span(minOf(WORD_AGE_MS, tunables.outageBound.ms)))
+                .also(::warnOfNoRoom),
+            siblings = peers.keys,
+        )
     private val incarnation = Incarnation(Random.nextLong())
     private val told = ToldCancellations()
     private val api: UserApi
@@ -112,76 +116,85 @@
     private var leading: Leader? = null
 
     override val machineTypes: Collection<MachineType> get() = types
+
     override fun now(): Instant = Instant(System.nanoTime() / 1_000_000)
+
     override fun wallMs(): Long = System.currentTimeMillis()
 
     init {
         val intakePerS = settings.stateLimits.writesPerS * (1 - tunables.writeShare) * INTAKE_SHARE / nodes
-        api = UserApi(
-            state = state,
-            quota = Quota(settings.teams),
-            host = this,
-            changes = TokenBucket(intakePerS, maxOf(INTAKE_BURST, intakePerS)),
-            requests = TokenBucket(requestsPerS, requestsPerS),
-            maxValueBytes = settings.stateLimits.valueBytes - VALUE_SLACK,
-        )
+        api =
+            UserApi(
+                state = state,
+                quota = Quota(settings.teams),
+                host = this,
+                changes = TokenBucket(intakePerS, maxOf(INTAKE_BURST, intakePerS)),
+                requests = TokenBucket(requestsPerS, requestsPerS),
+                maxValueBytes = settings.stateLimits.valueBytes - VALUE_SLACK,
+            )
         metrics.gauge("dewwing.term", "Highest term known") { leadership.highestTerm.value }
         metrics.gauge("dewwing.leading", "1 on the leader") { if (leading == null) 0 else 1 }
     }
 
     private fun warnOfNoRoom(times: LeadershipTimes) {
         if (times.wordAge.ms < WORD_EVERY_MS * 2) {
-            log.warn("workers.cancel_s leaves no room beyond workers.lease_s: an outage of the state service costs the leases of all running work")
+            log.warn(
+                "workers.cancel_s leaves no room beyond workers.lease_s: an outage of the state service costs the leases of all running work",
+            )
         } else if (times.readingAge.ms < Leader.READING_EVERY_MS) {
             log.warn("workers.cancel_s leaves little room beyond workers.lease_s: leases are renewed only while all siblings are heard")
         }
     }
 
-    suspend fun run(): Unit = coroutineScope {
-        val limits = ServerLimits(
-            connections = settings.sockets * 3 / 4,
-            maxBody = Wire.MAX_BODY,
-            firstMs = FIRST_MS,
-            idleMs = IDLE_MS,
-            requestMs = REQUEST_MS,
-            writeMs = WRITE_MS,
-        )
-        launch { HttpServer(selector, settings.serveOn, limits, handler = ::serve).run() }
-        launch { PeerServer(selector, settings.peerListen, ::answerPeer).run() }
-        for ((name, client) in peers) launch { sayWords(name, client) }
-        launch { learnTypes() }
-        electForEver()
-    }
+    suspend fun run(): Unit =
+        coroutineScope {
+            val limits =
+                ServerLimits(
+                    connections = settings.sockets * 3 / 4,
+                    maxBody = Wire.MAX_BODY,
+                    firstMs = FIRST_MS,
+                    idleMs = IDLE_MS,
+                    requestMs = REQUEST_MS,
+                    writeMs = WRITE_MS,
+                )
+            launch { HttpServer(selector, settings.serveOn, limits, handler = ::serve).run() }
+            launch { PeerServer(selector, settings.peerListen, ::answerPeer).run() }
+            for ((name, client) in peers) launch { sayWords(name, client) }
+            launch { learnTypes() }
+            electForEver()
+        }
 
     // ---- serving ---------------------------------------------------------------------------------------------
 
     private suspend fun serve(request: HttpRequest): HttpAnswer {
-        val answer = when (request.path) {
-            Wire.REPORT -> if (request.method == "POST") report(request) else notAllowed("POST")
-            Wire.HEALTH -> if (request.method == "GET") health() else notAllowed("GET")
-            Metrics.PATH -> if (request.method == "GET") scrape() else notAllowed("GET")
-            else -> api.handle(request, relayed = false)
-        }
+        val answer =
+            when (request.path) {
+                Wire.REPORT -> if (request.method == "POST") report(request) else notAllowed("POST")
+                Wire.HEALTH -> if (request.method == "GET") health() else notAllowed("GET")
+                Metrics.PATH -> if (request.method == "GET") scrape() else notAllowed("GET")
+                else -> api.handle(request, relayed = false)
+            }
         metrics.answered(knownPath(request.path), answer.status)
         return answer
     }
 
     /** Callers choose paths freely; a counter for each would grow without end. */
-    private fun knownPath(path: String): String = when {
-        path == Wire.REPORT || path == Wire.HEALTH || path == Metrics.PATH -> path
-        path.startsWith(Wire.JOBS) -> Wire.JOBS
-        else -> "other"
-    }
+    private fun knownPath(path: String): String =
+        when {
+            path == Wire.REPORT || path == Wire.HEALTH || path == Metrics.PATH -> path
+            path.startsWith(Wire.JOBS) -> Wire.JOBS
+            else -> "other"
+        }
 
-    private fun notAllowed(method: String) =
-        HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
+    private fun notAllowed(method: String) = HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
 
     /** A controller cut off from the state service and from every sibling can do nothing for a user. */
-    private fun health(): HttpAnswer = when {
-        types.isEmpty() -> HttpAnswer.error(503, "machine types are not known yet", 1)
-        state.givenUp && peers.isNotEmpty() && freshWords().isEmpty() -> HttpAnswer.error(503, "cut off", 1)
-        else -> HttpAnswer.of(200, emptyMap<String, Any?>())
-    }
+    private fun health(): HttpAnswer =
+        when {
+            types.isEmpty() -> HttpAnswer.error(503, "machine types are not known yet", 1)
+            state.givenUp && peers.isNotEmpty() && freshWords().isEmpty() -> HttpAnswer.error(503, "cut off", 1)
+            else -> HttpAnswer.of(200, emptyMap<String, Any?>())
+        }
 
     private fun scrape(): HttpAnswer {
         val scheduler = leading?.scheduler
@@ -191,11 +204,12 @@
 
     /** A worker's report. Only a 200 with our term renews its lease, so that answer rests on our authority now. */
     private suspend fun report(request: HttpRequest): HttpAnswer {
-        val report = try {
-            Wire.report(Pack.decodeMap(request.body))
-        } catch (e: MalformedException) {
-            return HttpAnswer.error(400, e.message ?: "malformed")
-        }
+        val report =
+            try {
+                Wire.report(Pack.decodeMap(request.body))
+            } catch (e: MalformedException) {
+                return HttpAnswer.error(400, e.message ?: "malformed")
+            }
         leadership.heardTerm(report.term)
         val lead = leading
         var authority = leadership.authority(now(), state.failing)
@@ -244,7 +258,10 @@
         )
     }
 
-    private suspend fun sayWords(name: String, client: PeerClient) {
+    private suspend fun sayWords(
+        name: String,
+        client: PeerClient,
+    ) {
         while (true) {
             val sent = now()
             try {
@@ -261,7 +278,12 @@
         }
     }
 
-    private fun hearWord(name: String, answer: PeerAnswer.Word, sent: Instant, askedAs: Leader?) {
+    private fun hearWord(
+        name: String,
+        answer: PeerAnswer.Word,
+        sent: Instant,
+        askedAs: Leader?,
+    ) {
         val said = answer.word
         for (c in answer.cancellations ?: emptyList()) leading?.scheduler?.onCancelled(c.job, c.revision, now())
         // Dated when it was asked for: the sibling said it later than that, never earlier.
@@ -277,7 +299,10 @@
      * A user is about to be told that [job] is cancelled. A leader that the state service refuses would not see it, and
      * would keep its tasks alive in an outage.
      */
-    override fun tellsCancelled(job: JobRef, revision: Revision) {
+    override fun tellsCancelled(
+        job: JobRef,
+        revision: Revision,
+    ) {
         told.note(Cancellation(job, revision))
         leading?.scheduler?.onCancelled(job, revision, now())
     }
@@ -286,23 +311,28 @@
         val fresher = word.leader == leaderName || now() - leaderReadAt >= LEADER_FRESH || leaderName == null
         if (fresher && leading == null && word.leader.isNotEmpty() && word.leader != settings.node &&
             word.highestTerm >= leadership.highestTerm
-        ) sawLeader(word.leader)
+        ) {
+            sawLeader(word.leader)
+        }
     }
 
-    private suspend fun answerPeer(request: PeerRequest): PeerAnswer = when (request) {
-        is PeerRequest.Word -> {
-            leadership.heardTerm(request.word.highestTerm)
-            PeerAnswer.Word(ownWord(), request.jobsKnown?.let(told::since))
-        }
-        is PeerRequest.Counts -> {
-            val counts = JobRef.parse(request.ref)?.let { leading?.scheduler?.counts(it) }
-            PeerAnswer.Counts(counts != null, counts?.running ?: 0, counts?.done ?: 0)
-        }
-        is PeerRequest.Relay -> {
-            val answer = api.handle(HttpRequest(request.method, request.path, "", request.body), relayed = true)
-            PeerAnswer.Relay(answer.status, answer.retryAfterS ?: 0, answer.body)
+    private suspend fun answerPeer(request: PeerRequest): PeerAnswer =
+        when (request) {
+            is PeerRequest.Word -> {
+                leadership.heardTerm(request.word.highestTerm)
+                PeerAnswer.Word(ownWord(), request.jobsKnown?.let(told::since))
+            }
+
+            is PeerRequest.Counts -> {
+                val counts = JobRef.parse(request.ref)?.let { leading?.scheduler?.counts(it) }
+                PeerAnswer.Counts(counts != null, counts?.running ?: 0, counts?.done ?: 0)
+            }
+
+            is PeerRequest.Relay -> {
+                val answer = api.handle(HttpRequest(request.method, request.path, "", request.body), relayed = true)
+                PeerAnswer.Relay(answer.status, answer.retryAfterS ?: 0, answer.body)
+            }
         }
-    }
 
     private fun freshWords(): Set<String> {
         val at = now()
@@ -335,8 +365,11 @@
         val client = peers[leaderName ?: return null] ?: return null
         return try {
             val answer = client.ask(PeerRequest.Counts(ref.value), COUNTS_MS)
-            if (answer !is PeerAnswer.Counts || !answer.known) null
-            else JobCounts(if (answer.running > 0) JobStage.RUNNING else JobStage.QUEUED, answer.done, answer.running)
+            if (answer !is PeerAnswer.Counts || !answer.known) {
+                null
+            } else {
+                JobCounts(if (answer.running > 0) JobStage.RUNNING else JobStage.QUEUED, answer.done, answer.running)
+            }
         } catch (e: IOException) {
             null
         }
@@ -405,7 +438,11 @@
 
     /** [ready]: whoever was elected for [term] came to have its picture; true as well when nobody ever was. */
     private class TermSeen(
-        val term: Term, val revision: Revision, val holder: Wire.Entry?, val holderName: String?, val ready: Boolean,
+        val term: Term,
+        val revision: Revision,
+        val holder: Wire.Entry?,
+        val holderName: String?,
+        val ready: Boolean,
     )
 
     private suspend fun readTerm(): TermSeen {
@@ -429,29 +466,36 @@
     }
 
     private class Elected(
-        val term: Term, val revision: Revision, val hold: HoldId, val holdSentAt: Instant, val predecessorReady: Boolean,
+        val term: Term,
+        val revision: Revision,
+        val hold: HoldId,
+        val holdSentAt: Instant,
+        val predecessorReady: Boolean,
     )
 
     private suspend fun stand(seen: TermSeen): Elected? {
         val sent = now()
         val hold = state.createHold(options.holdTtl)
         val term = seen.term.next()
-        val change = StateChange(
-            conditions = listOf(Keys.TERM to seen.revision, Keys.HOLDER to Revision.ABSENT),
-            puts = listOf(
-                Keys.TERM to mapOf("n" to term.value, "node" to settings.node),
-                Keys.HOLDER to mapOf("n" to term.value, "node" to settings.node, "hold" to hold.value),
-            ),
-        )
-        val result = try {
-            state.commit(change, hold, Keys.HOLDER)
-        } catch (e: StateUnavailableException) {
-            if (e.certainlyNot) return null
-            // Unknown: the holder's record tells, since nobody else has our hold's number.
-            val again = readTerm()
-            if (again.holder?.value?.get("hold") != hold.value || again.term != term) return null
-            CommitResult.Applied(again.revision)
-        }
+        val change =
+            StateChange(
+                conditions = listOf(Keys.TERM to seen.revision, Keys.HOLDER to Revision.ABSENT),
+                puts =
+                    listOf(
+                        Keys.TERM to mapOf("n" to term.value, "node" to settings.node),
+                        Keys.HOLDER to mapOf("n" to term.value, "node" to settings.node, "hold" to hold.value),
+                    ),
+            )
+        val result =
+            try {
+                state.commit(change, hold, Keys.HOLDER)
+            } catch (e: StateUnavailableException) {
+                if (e.certainlyNot) return null
+                // Unknown: the holder's record tells, since nobody else has our hold's number.
+                val again = readTerm()
+                if (again.holder?.value?.get("hold") != hold.value || again.term != term) return null
+                CommitResult.Applied(again.revision)
+            }
         if (result is CommitResult.Applied) return Elected(term, result.revision, hold, sent, seen.ready)
         try {
             state.dropHold(hold)
@@ -465,28 +509,35 @@
         log.info("elected for term {}", elected.term)
         sawLeader(settings.node)
         leadership.elected(elected.term, elected.holdSentAt)
-        val leader = Leader(
-            term = elected.term,
-            termRevision = elected.revision,
-            predecessorReady = elected.predecessorReady,
-            hold = elected.hold,
-            leadership = leadership,
-            state = state,
-            cloud = cloud,
-            workers = workers,
-            core = CoreSettings(
-                settings.teams, settings.objectives, settings.workers, settings.stateLimits, settings.cloudLimits, tunables,
+        val leader =
+            Leader(
+                term = elected.term,
+                termRevision = elected.revision,
+                predecessorReady = elected.predecessorReady,
+                hold = elected.hold,
+                leadership = leadership,
+                state = state,
+                cloud = cloud,
+                workers = workers,
+                core =
+                    CoreSettings(
+                        settings.teams,
+                        settings.objectives,
+                        settings.workers,
+                        settings.stateLimits,
+                        settings.cloudLimits,
+                        tunables,
+                        hasSiblings = peers.isNotEmpty(),
+                    ),
+                options = options,
+                metrics = metrics,
+                clock = this,
+                knownTypes = { types },
+                onTypes = ::learned,
                 hasSiblings = peers.isNotEmpty(),
-            ),
-            options = options,
-            metrics = metrics,
-            clock = this,
-            knownTypes = { types },
-            onTypes = ::learned,
-            hasSiblings = peers.isNotEmpty(),
-            workersElsewhere = { freshWords().any { workersAt[it] == true } },
-            siblingsHeard = { freshWords().isNotEmpty() },
-        )
+                workersElsewhere = { freshWords().any { workersAt[it] == true } },
+                siblingsHeard = { freshWords().isNotEmpty() },
+            )
         leading = leader
         try {
             leader.run()
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -87,7 +87,10 @@
      * Lets the round that a report causes be decided and logged before the report is answered, within
      * [REPORT_ANSWER_MS]: a small part of what a worker waits, and no longer than there is something to expect.
      */
-    suspend fun settle(s: Scheduler, machine: MachineId) {
+    suspend fun settle(
+        s: Scheduler,
+        machine: MachineId,
+    ) {
         wake()
         if (!s.worthWaiting(machine)) return
         val ready = CompletableDeferred<Unit>()
@@ -105,20 +108,22 @@
     }
 
     /** Returns when the term is over. */
-    suspend fun run(): Unit = coroutineScope {
-        val all = launch {
-            launch { serve() }
-            launch { renew() }
-        }
-        work = all
-        all.join()
-        // Given back at once, or nobody could be elected until it runs out.
-        try {
-            if (lostWorkers) state.dropHold(hold)
-        } catch (e: IOException) {
-            log.debug("hold not given back: {}", e.message)
+    suspend fun run(): Unit =
+        coroutineScope {
+            val all =
+                launch {
+                    launch { serve() }
+                    launch { renew() }
+                }
+            work = all
+            all.join()
+            // Given back at once, or nobody could be elected until it runs out.
+            try {
+                if (lostWorkers) state.dropHold(hold)
+            } catch (e: IOException) {
+                log.debug("hold not given back: {}", e.message)
+            }
         }
-    }
 
     private fun end(reason: String) {
         log.info("term {} ends: {}", term, reason)
@@ -166,15 +171,16 @@
         }
     }
 
-    private suspend fun serve(): Unit = coroutineScope {
-        val since = rebuild()
-        launch { markReady() }
-        // A controller that runs alone has nobody whom the workers could reach instead.
-        if (hasSiblings) launch { watchWorkers() }
-        launch { followJobs(since) }
-        launch { watchCloud() }
-        decide(this)
-    }
+    private suspend fun serve(): Unit =
+        coroutineScope {
+            val since = rebuild()
+            launch { markReady() }
+            // A controller that runs alone has nobody whom the workers could reach instead.
+            if (hasSiblings) launch { watchWorkers() }
+            launch { followJobs(since) }
+            launch { watchCloud() }
+            decide(this)
+        }
 
     // ---- rebuilding ------------------------------------------------------------------------------------------
 
@@ -185,9 +191,10 @@
                 val wallOffset = clock.wallMs() - clock.now().ms
                 val s = Scheduler(core, term, termRevision, clock.now(), wallOffset)
                 s.onTypes(knownTypes())
-                val since = state.list(Keys.JOBS) { page ->
-                    for (e in page) readJob(e) { ref, record -> s.restoreJob(ref, record, e.revision) }
-                }
+                val since =
+                    state.list(Keys.JOBS) { page ->
+                        for (e in page) readJob(e) { ref, record -> s.restoreJob(ref, record, e.revision) }
+                    }
                 state.list(Keys.LOGS) { page ->
                     for (e in page) read(e) { s.restoreLog(e.key, LogRecord.of(it)) }
                 }
@@ -223,12 +230,18 @@
         }
     }
 
-    private fun readJobs(upTo: Revision, askedAt: Instant) {
+    private fun readJobs(
+        upTo: Revision,
+        askedAt: Instant,
+    ) {
         jobsKnown = upTo
         leadership.readJobs(askedAt)
     }
 
-    private inline fun read(entry: Wire.Entry, use: (Map<String, Any?>) -> Unit) {
+    private inline fun read(
+        entry: Wire.Entry,
+        use: (Map<String, Any?>) -> Unit,
+    ) {
         try {
             entry.value?.let(use)
         } catch (e: MalformedException) {
@@ -236,8 +249,10 @@
         }
     }
 
-    private inline fun readJob(entry: Wire.Entry, use: (JobRef, JobRecord) -> Unit) =
-        read(entry) { value -> Keys.jobOf(entry.key)?.let { ref -> use(ref, JobRecord.of(value)) } }
+    private inline fun readJob(
+        entry: Wire.Entry,
+        use: (JobRef, JobRecord) -> Unit,
+    ) = read(entry) { value -> Keys.jobOf(entry.key)?.let { ref -> use(ref, JobRecord.of(value)) } }
 
     // ---- listening -------------------------------------------------------------------------------------------
 
@@ -251,7 +266,10 @@
                         result.entries.forEach(::jobChanged)
                         since = result.revision
                     }
-                    FollowResult.TooOld -> since = state.list(Keys.JOBS) { it.forEach(::jobChanged) }
+
+                    FollowResult.TooOld -> {
+                        since = state.list(Keys.JOBS) { it.forEach(::jobChanged) }
+                    }
                 }
                 readJobs(since, asked)
                 wake()
@@ -291,16 +309,19 @@
         }
     }
 
-    private suspend fun storeTypes(types: List<MachineType>): List<MachineType>? = try {
-        // Its own revision too: a copy that comes late must not put older types back.
-        val before = state.get(Keys.TYPES)?.revision ?: Revision.ABSENT
-        val change = StateChange(
-            listOf(Keys.TERM to termRevision, Keys.TYPES to before), listOf(Keys.TYPES to Wire.machineTypesMap(types)),
-        )
-        if (state.commit(change) is CommitResult.Applied) types else null
-    } catch (e: IOException) {
-        null
-    }
+    private suspend fun storeTypes(types: List<MachineType>): List<MachineType>? =
+        try {
+            // Its own revision too: a copy that comes late must not put older types back.
+            val before = state.get(Keys.TYPES)?.revision ?: Revision.ABSENT
+            val change =
+                StateChange(
+                    listOf(Keys.TERM to termRevision, Keys.TYPES to before),
+                    listOf(Keys.TYPES to Wire.machineTypesMap(types)),
+                )
+            if (state.commit(change) is CommitResult.Applied) types else null
+        } catch (e: IOException) {
+            null
+        }
 
     // ---- deciding --------------------------------------------------------------------------------------------
 
@@ -320,41 +341,64 @@
         }
     }
 
-    private suspend fun carryOut(s: Scheduler, effect: Effect) {
+    private suspend fun carryOut(
+        s: Scheduler,
+        effect: Effect,
+    ) {
         when (effect) {
-            is Effect.Write -> write(s, effect.change)
-            is Effect.Kill -> workers.kill(effect.endpoint, term, effect.session, effect.kills)
-            is Effect.Rent -> try {
-                s.onRented(effect.key, cloud.rent(effect.order), clock.now())
-            } catch (e: IOException) {
-                log.info("rental {} unanswered: {}", effect.order.ask, e.message)
-                s.onRentUnknown(effect.key, clock.now())
-            } catch (e: MalformedException) {
-                log.warn("rental {}: {}", effect.order.ask, e.message)
-                s.onRentUnknown(effect.key, clock.now())
+            is Effect.Write -> {
+                write(s, effect.change)
             }
-            is Effect.Release -> try {
-                cloud.release(effect.machines)
-                s.onReleased(effect.machines, clock.now())
-            } catch (e: IOException) {
-                log.info("release of {} unanswered: {}", effect.machines, e.message)
-                s.onReleaseUnknown(effect.machines, clock.now())
+
+            is Effect.Kill -> {
+                workers.kill(effect.endpoint, term, effect.session, effect.kills)
+            }
+
+            is Effect.Rent -> {
+                try {
+                    s.onRented(effect.key, cloud.rent(effect.order), clock.now())
+                } catch (e: IOException) {
+                    log.info("rental {} unanswered: {}", effect.order.ask, e.message)
+                    s.onRentUnknown(effect.key, clock.now())
+                } catch (e: MalformedException) {
+                    log.warn("rental {}: {}", effect.order.ask, e.message)
+                    s.onRentUnknown(effect.key, clock.now())
+                }
+            }
+
+            is Effect.Release -> {
+                try {
+                    cloud.release(effect.machines)
+                    s.onReleased(effect.machines, clock.now())
+                } catch (e: IOException) {
+                    log.info("release of {} unanswered: {}", effect.machines, e.message)
+                    s.onReleaseUnknown(effect.machines, clock.now())
+                }
             }
         }
         wake()
     }
 
     /** Repeats the change until its outcome is certain; a late copy of it fails on the term or on its own keys. */
-    private suspend fun write(s: Scheduler, change: StateChange) {
+    private suspend fun write(
+        s: Scheduler,
+        change: StateChange,
+    ) {
         while (true) {
             try {
                 when (val result = state.commit(change)) {
-                    is CommitResult.Applied -> s.onWritten(result.revision, clock.now())
+                    is CommitResult.Applied -> {
+                        s.onWritten(result.revision, clock.now())
+                    }
+
                     is CommitResult.Conflict -> {
                         if (!s.onRefused(result.failed, clock.now())) end("the term's key changed")
                         reread(result.failed)
                     }
-                    CommitResult.HoldEnded -> end("the hold has run out")
+
+                    CommitResult.HoldEnded -> {
+                        end("the hold has run out")
+                    }
                 }
                 announceWritten(s)
                 return
--- a/src/main/kotlin/dewwing/control/app/Main.kt
+++ b/src/main/kotlin/dewwing/control/app/Main.kt
@@ -1,8 +1,8 @@
 package dewwing.control.app
 
-import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.parameters.options.default
@@ -37,20 +37,50 @@
     val config by option("--config", metavar = "FILE", help = "settings file (JSON); run the controller")
     val check by option("--check", help = "check the settings file and exit").flag()
     val rehearse by option("--rehearse", hidden = true, help = "load what a start needs, for the class-data archive").flag()
-    val collectorS by option("--collector-period", envvar = "DEWWING_COLLECTOR_PERIOD", metavar = "S", help = "seconds between looks for unfinished calls (5)")
-        .double().restrictTo(min = 0.1).default(5.0)
-    val relaunchS by option("--relaunch-wait", envvar = "DEWWING_RELAUNCH_WAIT", metavar = "S", help = "least seconds before a new leader gives up on a machine that has not reported; never less than its lease needs (0)")
-        .double().restrictTo(min = 0.0).default(0.0)
+    val collectorS by option(
+        "--collector-period",
+        envvar = "DEWWING_COLLECTOR_PERIOD",
+        metavar = "S",
+        help = "seconds between looks for unfinished calls (5)",
+    ).double()
+        .restrictTo(min = 0.1)
+        .default(5.0)
+    val relaunchS by option(
+        "--relaunch-wait",
+        envvar = "DEWWING_RELAUNCH_WAIT",
+        metavar = "S",
+        help = "least seconds before a new leader gives up on a machine that has not reported; never less than its lease needs (0)",
+    ).double()
+        .restrictTo(min = 0.0)
+        .default(0.0)
     val logLifeS by option("--log-life", envvar = "DEWWING_LOG_LIFE", metavar = "S", help = "seconds a finished job's log is kept (120)")
-        .double().restrictTo(min = 1.0).default(120.0)
+        .double()
+        .restrictTo(min = 1.0)
+        .default(120.0)
     val holdS by option("--hold", envvar = "DEWWING_HOLD", metavar = "S", help = "life of the leader's hold in seconds (2.5)")
-        .double().restrictTo(min = 1.0, max = 8.0).default(2.5)
+        .double()
+        .restrictTo(min = 1.0, max = 8.0)
+        .default(2.5)
     val idleS by option("--idle-keep", envvar = "DEWWING_IDLE_KEEP", metavar = "S", help = "seconds a machine without work is kept (15)")
-        .double().restrictTo(min = 0.0).default(15.0)
-    val writeShare by option("--write-share", envvar = "DEWWING_WRITE_SHARE", metavar = "X", help = "the leader's share of the state service's change rate (0.45)")
-        .double().restrictTo(min = 0.05, max = 0.5).default(0.45)
-    val budgetMs by option("--round-budget", envvar = "DEWWING_ROUND_BUDGET", metavar = "MS", help = "milliseconds one decision round may take (40)")
-        .double().restrictTo(min = 1.0).default(40.0)
+        .double()
+        .restrictTo(min = 0.0)
+        .default(15.0)
+    val writeShare by option(
+        "--write-share",
+        envvar = "DEWWING_WRITE_SHARE",
+        metavar = "X",
+        help = "the leader's share of the state service's change rate (0.45)",
+    ).double()
+        .restrictTo(min = 0.05, max = 0.5)
+        .default(0.45)
+    val budgetMs by option(
+        "--round-budget",
+        envvar = "DEWWING_ROUND_BUDGET",
+        metavar = "MS",
+        help = "milliseconds one decision round may take (40)",
+    ).double()
+        .restrictTo(min = 1.0)
+        .default(40.0)
 
     init {
         versionOption(VERSION)
@@ -62,24 +92,26 @@
             return
         }
         val path = config ?: fail("--config FILE is missing")
-        val settings = try {
-            Settings.parse(File(path).readText())
-        } catch (e: IOException) {
-            fail("$path cannot be read: ${e.message}")
-        } catch (e: BadSettingsException) {
-            fail("$path: ${e.message}")
-        }
+        val settings =
+            try {
+                Settings.parse(File(path).readText())
+            } catch (e: IOException) {
+                fail("$path cannot be read: ${e.message}")
+            } catch (e: BadSettingsException) {
+                fail("$path: ${e.message}")
+            }
         if (check) {
             echo("$path: ok")
             return
         }
-        val tunables = Tunables(
-            collectorPeriod = Span.ofSeconds(collectorS),
-            relaunchWait = Span.ofSeconds(relaunchS),
-            logLife = Span.ofSeconds(logLifeS),
-            writeShare = writeShare,
-            idleKeep = Span.ofSeconds(idleS),
-        )
+        val tunables =
+            Tunables(
+                collectorPeriod = Span.ofSeconds(collectorS),
+                relaunchWait = Span.ofSeconds(relaunchS),
+                logLife = Span.ofSeconds(logLifeS),
+                writeShare = writeShare,
+                idleKeep = Span.ofSeconds(idleS),
+            )
         serve(settings, tunables, Options(Span.ofSeconds(holdS), Span(budgetMs.toLong())))
     }
 
@@ -94,7 +126,11 @@
 const val VERSION = "0.4.0"
 
 /** Runs a controller until the process is killed: one thread for everything, one for the socket selector. */
-private fun serve(settings: Settings, tunables: Tunables, options: Options) {
+private fun serve(
+    settings: Settings,
+    tunables: Tunables,
+    options: Options,
+) {
     val selectorThread = Executors.newSingleThreadExecutor { r -> Thread(r, "selector").apply { isDaemon = true } }
     val selector = ActorSelectorManager(selectorThread.asCoroutineDispatcher())
     val metrics = Metrics()
@@ -105,11 +141,12 @@
 
 /** Before any logger exists: the level is read once. */
 private fun configureLogging() {
-    val level = when (System.getenv("LOG_LEVEL")?.lowercase()) {
-        "error" -> "error"
-        "debug" -> "debug"
-        else -> "info"
-    }
+    val level =
+        when (System.getenv("LOG_LEVEL")?.lowercase()) {
+            "error" -> "error"
+            "debug" -> "debug"
+            else -> "info"
+        }
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
     System.setProperty("org.slf4j.simpleLogger.log.io", "error")
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
--- a/src/main/kotlin/dewwing/control/app/Metrics.kt
+++ b/src/main/kotlin/dewwing/control/app/Metrics.kt
@@ -15,30 +15,46 @@
     private val machines = MultiGauge.builder("dewwing.machines").description("Machines by state").register(registry)
     private val rounds = registry.timer("dewwing.round")
 
-    fun called(service: String, call: String, outcome: String) =
-        registry.counter("dewwing.calls", "service", service, "call", call, "outcome", outcome).increment()
+    fun called(
+        service: String,
+        call: String,
+        outcome: String,
+    ) = registry.counter("dewwing.calls", "service", service, "call", call, "outcome", outcome).increment()
 
     private val answers = HashMap<String, Array<Counter?>>()
 
     /** Kept at hand, since reports come at hundreds a second; [path] must be one of few, not whatever a caller sent. */
-    fun answered(path: String, status: Int) {
+    fun answered(
+        path: String,
+        status: Int,
+    ) {
         val byStatus = answers.getOrPut(path) { arrayOfNulls(MAX_STATUS) }
         val at = status.coerceIn(0, MAX_STATUS - 1)
-        val counter = byStatus[at]
-            ?: registry.counter("dewwing.answers", "path", path, "status", status.toString()).also { byStatus[at] = it }
+        val counter =
+            byStatus[at]
+                ?: registry.counter("dewwing.answers", "path", path, "status", status.toString()).also { byStatus[at] = it }
         counter.increment()
     }
 
     fun round(nanos: Long) = rounds.record(nanos, TimeUnit.NANOSECONDS)
 
-    fun waited(jobClass: String, ms: Long) =
-        registry.timer("dewwing.wait", "class", jobClass).record(maxOf(0, ms), TimeUnit.MILLISECONDS)
+    fun waited(
+        jobClass: String,
+        ms: Long,
+    ) = registry.timer("dewwing.wait", "class", jobClass).record(maxOf(0, ms), TimeUnit.MILLISECONDS)
 
-    fun gauge(name: String, description: String, value: () -> Number) {
+    fun gauge(
+        name: String,
+        description: String,
+        value: () -> Number,
+    ) {
         Gauge.builder(name, value).description(description).register(registry)
     }
 
-    fun scrape(queueByClass: Map<String, Int>, machinesByState: Map<String, Int>): String {
+    fun scrape(
+        queueByClass: Map<String, Int>,
+        machinesByState: Map<String, Int>,
+    ): String {
         queue.register(queueByClass.map { MultiGauge.Row.of(Tags.of("class", it.key), it.value) }, true)
         machines.register(machinesByState.map { MultiGauge.Row.of(Tags.of("state", it.key), it.value) }, true)
         return registry.scrape()
--- a/src/main/kotlin/dewwing/control/cloud/CloudClient.kt
+++ b/src/main/kotlin/dewwing/control/cloud/CloudClient.kt
@@ -14,7 +14,9 @@
 import java.io.IOException
 
 /** The cloud did not carry the request out, or nobody knows. */
-class CloudUnavailableException(message: String) : IOException(message)
+class CloudUnavailableException(
+    message: String,
+) : IOException(message)
 
 /** The cloud's calls, kept within its rate by spacing them out. */
 class CloudClient(
@@ -60,7 +62,12 @@
         }
     }
 
-    private suspend fun call(name: String, method: String, target: String, body: ByteArray?): HttpResult {
+    private suspend fun call(
+        name: String,
+        method: String,
+        target: String,
+        body: ByteArray?,
+    ): HttpResult {
         while (true) {
             val now = clock()
             if (requests.tryTake(now, 1.0)) break
@@ -76,8 +83,10 @@
         }
     }
 
-    private fun unavailable(name: String, result: HttpResult) =
-        CloudUnavailableException("$name: cloud answered ${result.status}")
+    private fun unavailable(
+        name: String,
+        result: HttpResult,
+    ) = CloudUnavailableException("$name: cloud answered ${result.status}")
 
     companion object {
         private const val PAGE = 500
--- a/src/main/kotlin/dewwing/control/core/Basics.kt
+++ b/src/main/kotlin/dewwing/control/core/Basics.kt
@@ -16,20 +16,43 @@
 )
 
 /** One request for machines; [ask] is unique for ever, so that a replay rents nothing twice. */
-data class RentOrder(val ask: String, val type: String, val zone: String, val spot: Boolean, val count: Int)
+data class RentOrder(
+    val ask: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val count: Int,
+)
 
 /** What the core wants done outside; results come back as events. */
 sealed interface Effect {
     /** To be repeated until its outcome is certain. */
-    data class Write(val change: StateChange) : Effect
-    data class Rent(val key: String, val order: RentOrder) : Effect
-    data class Release(val machines: List<MachineId>) : Effect
-    data class Kill(val machine: MachineId, val endpoint: Endpoint, val session: Long, val kills: List<Command.Kill>) :
-        Effect
+    data class Write(
+        val change: StateChange,
+    ) : Effect
+
+    data class Rent(
+        val key: String,
+        val order: RentOrder,
+    ) : Effect
+
+    data class Release(
+        val machines: List<MachineId>,
+    ) : Effect
+
+    data class Kill(
+        val machine: MachineId,
+        val endpoint: Endpoint,
+        val session: Long,
+        val kills: List<Command.Kill>,
+    ) : Effect
 }
 
 /** A rate with bursts, on whatever clock its caller has. */
-class TokenBucket(private val perSecond: Double, private val burst: Double) {
+class TokenBucket(
+    private val perSecond: Double,
+    private val burst: Double,
+) {
     private var level = burst
     private var at: Instant? = null
 
@@ -40,13 +63,19 @@
         return level
     }
 
-    fun tryTake(now: Instant, amount: Double): Boolean {
+    fun tryTake(
+        now: Instant,
+        amount: Double,
+    ): Boolean {
         if (available(now) < amount) return false
         level -= amount
         return true
     }
 
-    fun untilAvailable(now: Instant, amount: Double): Span {
+    fun untilAvailable(
+        now: Instant,
+        amount: Double,
+    ): Span {
         val missing = amount - available(now)
         return if (missing <= 0) Span(0) else Span(ceil(missing / perSecond * 1000).toLong())
     }
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -35,13 +35,17 @@
 import dewwing.protocol.Revision
 import dewwing.protocol.Span
 import dewwing.protocol.Step
-import dewwing.protocol.Term
 import dewwing.protocol.TaskStage
+import dewwing.protocol.Term
 import org.slf4j.LoggerFactory
 import java.util.BitSet
 
 /** Display counts of an open job. */
-data class JobCounts(val stage: JobStage, val done: Int, val running: Int)
+data class JobCounts(
+    val stage: JobStage,
+    val done: Int,
+    val running: Int,
+)
 
 /**
  * The leader's mind for one term: events in, effects out, no clock and no input or output of its own.
@@ -72,10 +76,11 @@
     private val machines = LinkedHashMap<MachineId, Machine>()
     private val types = LinkedHashMap<String, MachineType>()
     private val quota = Quota(settings.teams)
-    private val writes = TokenBucket(
-        settings.state.writesPerS * tunables.writeShare,
-        maxOf(1.0, settings.state.writesPerS * tunables.writeShare),
-    )
+    private val writes =
+        TokenBucket(
+            settings.state.writesPerS * tunables.writeShare,
+            maxOf(1.0, settings.state.writesPerS * tunables.writeShare),
+        )
     private var orphanLogs = ArrayList<String>()
     private val gcQueue = ArrayDeque<Pair<Instant, String>>()
     private var batch: Batch? = null
@@ -107,7 +112,11 @@
 
     // ---- rebuilding from the state service -------------------------------------------------------------------
 
-    fun restoreJob(ref: JobRef, record: JobRecord, revision: Revision) {
+    fun restoreJob(
+        ref: JobRef,
+        record: JobRecord,
+        revision: Revision,
+    ) {
         // Final jobs keep their description while tasks of theirs may be on machines: those count until proven gone.
         val spec = record.spec ?: return
         val job = Job(spec, revision, record.submittedAtMs)
@@ -121,7 +130,10 @@
     }
 
     /** Log records must come in the order of their keys: the last placement of a task is the one that counts. */
-    fun restoreLog(key: String, record: LogRecord) {
+    fun restoreLog(
+        key: String,
+        record: LogRecord,
+    ) {
         val (ref, step) = Keys.logOf(key) ?: return
         val job = jobs[ref]
         if (job == null) {
@@ -141,15 +153,25 @@
         }
         var task = record.done.nextSetBit(0)
         while (task >= 0) {
-            job.live.get(task)?.takeIf { !job.isGang }?.let { drop(it, startedAt) }
+            job.live
+                .get(task)
+                ?.takeIf { !job.isGang }
+                ?.let { drop(it, startedAt) }
             task = record.done.nextSetBit(task + 1)
         }
         job.restoreDone(record.done)
     }
 
-    fun restoreRent(key: String, record: RentRecord, now: Instant) = fleet.restoreRent(key, record, now)
+    fun restoreRent(
+        key: String,
+        record: RentRecord,
+        now: Instant,
+    ) = fleet.restoreRent(key, record, now)
 
-    fun restoreRelease(key: String, record: ReleaseRecord) {
+    fun restoreRelease(
+        key: String,
+        record: ReleaseRecord,
+    ) {
         for (id in record.machines) machines.getOrPut(id) { Machine(id, startedAt) }.release = ReleaseStage.LOGGED
         fleet.releaseLogged(key, record)
     }
@@ -182,7 +204,12 @@
     }
 
     /** A job's key changed; our own changes come by here too. */
-    fun onJobEntry(ref: JobRef, record: JobRecord, revision: Revision, now: Instant) {
+    fun onJobEntry(
+        ref: JobRef,
+        record: JobRecord,
+        revision: Revision,
+        now: Instant,
+    ) {
         val job = jobs[ref]
         if (job == null) {
             val spec = record.spec ?: return
@@ -202,13 +229,21 @@
     }
 
     /** Known from another way than the job's watch, which may hang or be refused while users are told elsewhere. */
-    fun onCancelled(ref: JobRef, revision: Revision, now: Instant) {
+    fun onCancelled(
+        ref: JobRef,
+        revision: Revision,
+        now: Instant,
+    ) {
         val job = jobs[ref] ?: return
         job.revision = maxOf(job.revision, revision)
         finish(job, JobStage.ABORTED, now)
     }
 
-    private fun finish(job: Job, stage: JobStage, now: Instant) {
+    private fun finish(
+        job: Job,
+        stage: JobStage,
+        now: Instant,
+    ) {
         job.final = stage
         job.finalAt = now
         log.info("job {} {}", job.ref, if (stage == JobStage.DONE) "done" else "cancelled")
@@ -218,7 +253,10 @@
         close(job, now)
     }
 
-    private fun close(job: Job, now: Instant) {
+    private fun close(
+        job: Job,
+        now: Instant,
+    ) {
         jobs.remove(job.ref)
         waitingJobs.remove(job)
         closed.addLast(job)
@@ -231,7 +269,10 @@
      * A worker's report. Its answer is [commands], which may be asked for a little later, once what the report made
      * possible is decided and logged: a launch that has to wait for the next report leaves the machine idle till then.
      */
-    fun onReport(report: Report, now: Instant) {
+    fun onReport(
+        report: Report,
+        now: Instant,
+    ) {
         val known = machines[report.machine]
         // A late copy says nothing new, and its sender dropped the answer long ago. It must touch nothing: not the
         // lease in our books, not what the newest report is still to be told, not a machine given up or returned.
@@ -239,10 +280,11 @@
         if (known != null && (known.release == ReleaseStage.GONE || report.position <= known.position)) return
         if (known != null && report.position.session <= known.lapsedSession) return
         pendingCommands.remove(report.machine)
-        val m = known ?: Machine(report.machine, now).also {
-            machines[it.id] = it
-            log.info("machine {} adopted: {} in {}", report.machine, report.type, report.zone)
-        }
+        val m =
+            known ?: Machine(report.machine, now).also {
+                machines[it.id] = it
+                log.info("machine {} adopted: {} in {}", report.machine, report.type, report.zone)
+            }
         judgeHearing(m, report, now)
         m.describe(types[report.type], report.zone, report.spot)
         if (!m.up) {
@@ -270,16 +312,21 @@
      * Newest message of every machine that was dropped from the books. A copy of one of its reports may still come
      * when the machine is long gone: adopting it again would put work on a ghost.
      */
-    private val forgotten = object : LinkedHashMap<MachineId, Position>() {
-        override fun removeEldestEntry(eldest: Map.Entry<MachineId, Position>) = size > MAX_FORGOTTEN
-    }
+    private val forgotten =
+        object : LinkedHashMap<MachineId, Position>() {
+            override fun removeEldestEntry(eldest: Map.Entry<MachineId, Position>) = size > MAX_FORGOTTEN
+        }
 
     /**
      * Tells machines whose reports arrive while our answers do not reach them. One whose answers arrive comes back
      * with the very next message of its stream within the time it waits for an answer; one whose session ends though
      * we answered in time, or that never shows a launch, has not heard us.
      */
-    private fun judgeHearing(m: Machine, report: Report, now: Instant) {
+    private fun judgeHearing(
+        m: Machine,
+        report: Report,
+        now: Instant,
+    ) {
         if (!m.up) {
             // Back after a lapse: it shows first that answers reach it, which takes one report.
             if (m.lapsedAt != null) m.deafSince = now
@@ -294,7 +341,11 @@
         }
     }
 
-    private fun deaf(m: Machine, now: Instant, sign: String) {
+    private fun deaf(
+        m: Machine,
+        now: Instant,
+        sign: String,
+    ) {
         if (m.deafSince != null) return
         log.info("machine {} does not hear us: {}", m.id, sign)
         m.deafSince = now
@@ -311,12 +362,18 @@
         if (m.attempts.values.any { it.phase == AttemptPhase.LOGGING }) return true
         if (m.attempts.values.any { it.phase == AttemptPhase.READY }) return false
         effort.look(minOf(waitingJobs.size, MAX_WAITING_LOOKS))
-        return waitingJobs.asSequence().take(MAX_WAITING_LOOKS)
+        return waitingJobs
+            .asSequence()
+            .take(MAX_WAITING_LOOKS)
             .any { !it.pending.isEmpty && m.free.holds(it.spec.need) && Placer.machineAllowed(it.spec, m) }
     }
 
     /** The answer to [report]; nothing if a newer one of its sender has come since, or it was late itself. */
-    fun commands(report: Report, now: Instant, mayStart: Boolean): List<Command> {
+    fun commands(
+        report: Report,
+        now: Instant,
+        mayStart: Boolean,
+    ): List<Command> {
         val m = machines[report.machine] ?: return emptyList()
         if (m.position != report.position) return emptyList()
         val commands = pendingCommands.remove(m.id) ?: return emptyList()
@@ -330,7 +387,12 @@
         return commands
     }
 
-    private fun readTasks(m: Machine, report: Report, now: Instant, commands: MutableList<Command>) {
+    private fun readTasks(
+        m: Machine,
+        report: Report,
+        now: Instant,
+        commands: MutableList<Command>,
+    ) {
         val listed = HashSet<Pair<Any, Step>>(report.tasks.size * 2)
         effort.look(report.tasks.size + m.attempts.size)
         for (t in report.tasks) {
@@ -340,13 +402,17 @@
         }
         for (a in m.attempts.values.toList()) {
             if ((a.ref to a.number) in listed) continue
-            val gone = when (a.phase) {
-                AttemptPhase.LOGGING, AttemptPhase.READY -> false
-                // Only a report made after the one whose answer carried the launch can miss it for good.
-                AttemptPhase.SENT -> a.sentIn?.let { it < report.position } ?: true
-                AttemptPhase.SEEN -> true
-                AttemptPhase.INHERITED -> m.settled
-            }
+            val gone =
+                when (a.phase) {
+                    AttemptPhase.LOGGING, AttemptPhase.READY -> false
+
+                    // Only a report made after the one whose answer carried the launch can miss it for good.
+                    AttemptPhase.SENT -> a.sentIn?.let { it < report.position } ?: true
+
+                    AttemptPhase.SEEN -> true
+
+                    AttemptPhase.INHERITED -> m.settled
+                }
             if (gone) {
                 log.debug("task {} try {} is not on {} any more", a.ref, a.number, m.id)
                 val unheard = a.phase == AttemptPhase.SENT && a.killGraceS == null
@@ -356,7 +422,13 @@
         }
     }
 
-    private fun present(m: Machine, t: ReportedTask, known: Attempt?, now: Instant, commands: MutableList<Command>) {
+    private fun present(
+        m: Machine,
+        t: ReportedTask,
+        known: Attempt?,
+        now: Instant,
+        commands: MutableList<Command>,
+    ) {
         val job = jobs[t.task.job]
         var a = known
         if (a == null) {
@@ -383,7 +455,13 @@
         }
     }
 
-    private fun ended(m: Machine, t: ReportedTask, known: Attempt?, now: Instant, commands: MutableList<Command>) {
+    private fun ended(
+        m: Machine,
+        t: ReportedTask,
+        known: Attempt?,
+        now: Instant,
+        commands: MutableList<Command>,
+    ) {
         val job = jobs[t.task.job]
         val index = t.task.index
         if (t.cause == EndCause.DONE && job != null && index < job.spec.tasks) {
@@ -391,18 +469,25 @@
         }
         if (known != null) {
             when (t.cause) {
-                EndCause.DONE -> drop(known, now)
+                EndCause.DONE -> {
+                    drop(known, now)
+                }
+
                 EndCause.ERROR -> {
                     log.info("task {} failed on {}", known.ref, m.id)
                     blame(m, known.job, now)
                     lost(known, now)
                 }
+
                 EndCause.NO_ROOM, EndCause.IN_USE, EndCause.UNKNOWN_JOB, EndCause.INCOMPLETE -> {
                     log.info("task {} refused by {}: {}", known.ref, m.id, t.cause)
                     known.job.failed(now)
                     lost(known, now)
                 }
-                else -> lost(known, now)
+
+                else -> {
+                    lost(known, now)
+                }
             }
         }
         // What finished stays on the worker until its result is written: only then may it be forgotten.
@@ -410,7 +495,12 @@
         if (!unwritten && commands.size < MAX_COMMANDS) commands.add(Command.Reap(t.task, t.attempt))
     }
 
-    private fun launch(m: Machine, report: Report, now: Instant, commands: MutableList<Command>) {
+    private fun launch(
+        m: Machine,
+        report: Report,
+        now: Instant,
+        commands: MutableList<Command>,
+    ) {
         for (a in m.attempts.values.toList()) {
             if (a.phase != AttemptPhase.READY) continue
             if (!a.job.isOpen || a.killGraceS != null) {
@@ -425,11 +515,18 @@
     }
 
     /** Errors of many jobs mark the machine, errors on many machines mark the job. */
-    private fun blame(m: Machine, job: Job, now: Instant) {
+    private fun blame(
+        m: Machine,
+        job: Job,
+        now: Instant,
+    ) {
         job.failed(now)
         job.failedOn(m.id.value)
-        if (job.isSuspect) acquit(job)
-        else if (job.machinesFailed <= Job.SOUND_JOB_MACHINES) m.failedJobs.add(job.ref.value)
+        if (job.isSuspect) {
+            acquit(job)
+        } else if (job.machinesFailed <= Job.SOUND_JOB_MACHINES) {
+            m.failedJobs.add(job.ref.value)
+        }
         if (m.failedJobs.size >= FAULTY_AFTER_JOBS && !m.faulty) {
             log.info("machine {} is taken for faulty: {} jobs failed on it", m.id, m.failedJobs.size)
             m.faulty = true
@@ -446,7 +543,10 @@
     }
 
     /** The cloud takes the machine back: what can save does so now, the rest runs on as long as it can. */
-    private fun drain(m: Machine, now: Instant) {
+    private fun drain(
+        m: Machine,
+        now: Instant,
+    ) {
         val left = (m.noticeAt ?: return) - now
         for (a in m.attempts.values.toList()) {
             if (a.neverSent) {
@@ -460,12 +560,16 @@
         }
     }
 
-    fun onList(list: List<ListedMachine>, now: Instant) {
+    fun onList(
+        list: List<ListedMachine>,
+        now: Instant,
+    ) {
         fleet.listed = true
         for (l in list) {
-            val m = machines.getOrPut(l.id) {
-                Machine(l.id, now).also { it.rentedAt = Instant(now.ms - (l.ageS * 1000).toLong()) }
-            }
+            val m =
+                machines.getOrPut(l.id) {
+                    Machine(l.id, now).also { it.rentedAt = Instant(now.ms - (l.ageS * 1000).toLong()) }
+                }
             m.describe(types[l.type], l.zone, l.spot)
             m.lastListed = now
             m.listedFailed = l.stage == ListedStage.FAILED
@@ -474,20 +578,34 @@
             val stale = now - (m.lastListed ?: m.knownSince) > Span(settings.cloud.listLag.ms * 3 + FORGET_MS)
             if (stale && !m.up && m.attempts.isEmpty() && m.release != ReleaseStage.LOGGED) {
                 machines.remove(m.id)
-                forgotten[m.id] = if (m.release == ReleaseStage.GONE) LAST_POSITION else maxOf(m.position, Position(m.lapsedSession, Long.MAX_VALUE))
+                forgotten[m.id] =
+                    if (m.release == ReleaseStage.GONE) LAST_POSITION else maxOf(m.position, Position(m.lapsedSession, Long.MAX_VALUE))
             }
         }
     }
 
     /** [rented] is null when there was no capacity; no call at all when the outcome is unknown. */
-    fun onRented(key: String, rented: List<MachineId>?, now: Instant) = fleet.onRented(key, rented, now)
-
-    fun onRentUnknown(key: String, now: Instant) = fleet.onRentUnknown(key, now)
-
-    fun onReleaseUnknown(ids: List<MachineId>, now: Instant) = fleet.onReleaseUnknown(ids, now)
+    fun onRented(
+        key: String,
+        rented: List<MachineId>?,
+        now: Instant,
+    ) = fleet.onRented(key, rented, now)
+
+    fun onRentUnknown(
+        key: String,
+        now: Instant,
+    ) = fleet.onRentUnknown(key, now)
+
+    fun onReleaseUnknown(
+        ids: List<MachineId>,
+        now: Instant,
+    ) = fleet.onReleaseUnknown(ids, now)
 
     /** The cloud confirmed: the machines and everything on them are gone. */
-    fun onReleased(ids: List<MachineId>, now: Instant) {
+    fun onReleased(
+        ids: List<MachineId>,
+        now: Instant,
+    ) {
         for (id in ids) {
             val m = machines[id] ?: continue
             m.release = ReleaseStage.GONE
@@ -505,7 +623,10 @@
         quota.add(a.job)
     }
 
-    private fun drop(a: Attempt, now: Instant) {
+    private fun drop(
+        a: Attempt,
+        now: Instant,
+    ) {
         if (a.machine.attempts[a.ref] !== a) return
         a.machine.detach(a, now)
         a.job.detach(a)
@@ -514,14 +635,20 @@
     }
 
     /** Gone without having finished. A gang that lost one is started anew once all of it is gone. */
-    private fun lost(a: Attempt, now: Instant) {
+    private fun lost(
+        a: Attempt,
+        now: Instant,
+    ) {
         drop(a, now)
         val job = a.job
         if (!job.isGang || !job.isOpen || job.isComplete) return
         for (other in job.live.values.toList()) if (other.neverSent) drop(other, now) else kill(other, 0.0)
     }
 
-    private fun kill(a: Attempt, graceS: Double) {
+    private fun kill(
+        a: Attempt,
+        graceS: Double,
+    ) {
         val before = a.killGraceS
         if (before != null && before <= graceS) return
         a.killGraceS = graceS
@@ -540,7 +667,7 @@
     private fun takeBackUnsent(now: Instant) {
         effort.look(machines.size)
         for (m in machines.values) {
-            if (m.accepts && now - m.heardAt <= silenceSpan || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
+            if ((m.accepts && now - m.heardAt <= silenceSpan) || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
             for (a in m.attempts.values.toList()) if (a.phase == AttemptPhase.READY) lost(a, now)
         }
     }
@@ -581,7 +708,10 @@
     }
 
     /** One decision round; [mayGoOn] is the caller's time budget. Returns what is to be done outside. */
-    fun round(now: Instant, mayGoOn: () -> Boolean): List<Effect> {
+    fun round(
+        now: Instant,
+        mayGoOn: () -> Boolean,
+    ): List<Effect> {
         lapse(now)
         takeBackUnsent(now)
         if (batch == null) compose(now, mayGoOn)
@@ -601,7 +731,10 @@
         return out
     }
 
-    private fun compose(now: Instant, mayGoOn: () -> Boolean) {
+    private fun compose(
+        now: Instant,
+        mayGoOn: () -> Boolean,
+    ) {
         val b = Batch()
         val room = minOf(settings.state.opsPerCommit, writes.available(now).toInt())
         if (room <= 0) return
@@ -647,7 +780,10 @@
     }
 
     /** From when this change is carried out, every copy of an earlier one fails. */
-    private fun raiseFence(b: Batch, fence: String) {
+    private fun raiseFence(
+        b: Batch,
+        fence: String,
+    ) {
         uncertain = false
         b.own.add(fence)
         b.puts.add(fence to emptyMap())
@@ -655,7 +791,11 @@
         b.onRefused.add { uncertain = true }
     }
 
-    private fun closeDone(b: Batch, job: Job, now: Instant) {
+    private fun closeDone(
+        b: Batch,
+        job: Job,
+        now: Instant,
+    ) {
         // A task that ended on a machine long unheard may have been started anew meanwhile: a successor must go on
         // counting that start until it is gone. A gang's tasks end together.
         val value = JobRecord(JobStage.DONE, job.spec.takeIf { !job.isGang && job.live.isNotEmpty() }, job.submittedAtMs).toValue()
@@ -667,7 +807,11 @@
         }
     }
 
-    private fun addFleetWrites(b: Batch, room: Int, now: Instant) {
+    private fun addFleetWrites(
+        b: Batch,
+        room: Int,
+        now: Instant,
+    ) {
         for ((key, record) in fleet.releaseWrites(settings.state.valueBytes - RECORD_SLACK)) {
             if (b.ops >= room) break
             b.conditions[key] = Revision.ABSENT
@@ -690,7 +834,12 @@
     }
 
     /** Places jobs in rank order, going on after the job where the last round's budget ended. */
-    private fun placeAll(b: Batch, room: Int, now: Instant, mayGoOn: () -> Boolean) {
+    private fun placeAll(
+        b: Batch,
+        room: Int,
+        now: Instant,
+        mayGoOn: () -> Boolean,
+    ) {
         val order = ranking(now)
         val from = resumeAfter?.let { ref -> order.indexOfFirst { it.ref == ref } + 1 } ?: 0
         resumeAfter = null
@@ -715,7 +864,11 @@
             if (urgent && fleet.fetchMissesStart(job.spec)) {
                 // Fetching its image alone would make it late: machines that have it come first, made free if need be.
                 placements = choose(job, openings) { job.spec.image in it.images }
-                if (placements.isEmpty() && makeRoom(job, openings.stoppableFor(job, preemption).filter { job.spec.image in it.images }, now)) continue
+                if (placements.isEmpty() &&
+                    makeRoom(job, openings.stoppableFor(job, preemption).filter { job.spec.image in it.images }, now)
+                ) {
+                    continue
+                }
             }
             if (placements.isEmpty()) placements = choose(job, openings)
             if (placements.isEmpty()) {
@@ -736,17 +889,26 @@
      * left alone: such a job cannot stop work of its own priority, so that on the rough day of kestrel-crashdesk-grown
      * gangs waited for the overflow to end.
      */
-    private fun placeOverflow(b: Batch, room: Int, order: List<Job>, openings: Openings, now: Instant) {
-        val late = order.filter { job ->
-            job in waitingJobs && !job.isGang && !job.isSuspect && job.spec.need.accelerators <= 0 && now >= job.notBefore &&
-                (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0 >= fleet.horizonS(job.spec.jobClass, job.spec.estimateS) * OVERFLOW_AFTER
-        }
+    private fun placeOverflow(
+        b: Batch,
+        room: Int,
+        order: List<Job>,
+        openings: Openings,
+        now: Instant,
+    ) {
+        val late =
+            order.filter { job ->
+                job in waitingJobs && !job.isGang && !job.isSuspect && job.spec.need.accelerators <= 0 && now >= job.notBefore &&
+                    (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0 >=
+                    fleet.horizonS(job.spec.jobClass, job.spec.estimateS) * OVERFLOW_AFTER
+            }
         if (late.isEmpty()) return
-        val idle = openings.withAccelerators().filter { m ->
-            val lastProper = m.lastProper
-            m.keptFor == null && m.attempts.values.none { it.job.spec.need.accelerators > 0 } &&
-                lastProper != null && now - lastProper < OVERFLOW_KEEP
-        }
+        val idle =
+            openings.withAccelerators().filter { m ->
+                val lastProper = m.lastProper
+                m.keptFor == null && m.attempts.values.none { it.job.spec.need.accelerators > 0 } &&
+                    lastProper != null && now - lastProper < OVERFLOW_KEEP
+            }
         if (idle.isEmpty()) return
         // Cheap ones come first, and so the dear ones, which every job may use, are what is left.
         val (empty, begun) = idle.partition { it.attempts.isEmpty() }
@@ -769,7 +931,10 @@
         }
     }
 
-    private fun noteArrival(spec: JobSpec, now: Instant) {
+    private fun noteArrival(
+        spec: JobSpec,
+        now: Instant,
+    ) {
         if (fleet.cannotWaitForBoot(spec)) fleet.urgentArrived(spec, now)
     }
 
@@ -784,7 +949,11 @@
     }
 
     /** Stops what [Preemption] chose for [job] and keeps the room for it; false when no room can be made. */
-    private fun makeRoom(job: Job, allowed: List<Machine>, now: Instant): Boolean {
+    private fun makeRoom(
+        job: Job,
+        allowed: List<Machine>,
+        now: Instant,
+    ): Boolean {
         effort.look(allowed.size)
         val best = preemption.plan(job.spec, allowed, now)
         if (best.isEmpty()) return false
@@ -800,7 +969,11 @@
         return true
     }
 
-    private fun choose(job: Job, openings: Openings, also: (Machine) -> Boolean = { true }): List<Placement> {
+    private fun choose(
+        job: Job,
+        openings: Openings,
+        also: (Machine) -> Boolean = { true },
+    ): List<Placement> {
         if (job.isGang && job.live.isNotEmpty()) return emptyList()
         val pending = if (job.isGang) job.spec.tasks else job.pending.cardinality()
         var limit = minOf(pending, quota.room(job.spec), if (job.isGang) pending else MAX_TASKS_PER_STEP)
@@ -817,14 +990,22 @@
         return placements
     }
 
-    private fun wait(job: Job, reason: String) {
+    private fun wait(
+        job: Job,
+        reason: String,
+    ) {
         if (job.waitReason == reason) return
         job.waitReason = reason
         log.info("job {} waits for {}", job.ref, reason)
     }
 
     /** One step: the placements and the finished tasks not yet recorded, as far as one record holds them. */
-    private fun logStep(b: Batch, job: Job, placements: List<Placement>, now: Instant) {
+    private fun logStep(
+        b: Batch,
+        job: Job,
+        placements: List<Placement>,
+        now: Instant,
+    ) {
         val step = job.takeStep()
         val limit = settings.state.valueBytes - RECORD_SLACK
         var left = limit
@@ -875,7 +1056,11 @@
         b.onRefused.add { for (a in attempts) if (a.neverSent) drop(a, now) }
     }
 
-    private fun collectGarbage(b: Batch, room: Int, now: Instant) {
+    private fun collectGarbage(
+        b: Batch,
+        room: Int,
+        now: Instant,
+    ) {
         // Logs are dropped with what intake and placement leave over.
         if (b.ops > 0 && writes.available(now) < room + 1) return
         while (b.ops < room) {
@@ -892,10 +1077,15 @@
         }
         while (closed.isNotEmpty() && now - (closed.first().finalAt ?: now) > tunables.logLife &&
             closed.first().live.isEmpty()
-        ) closedRefs.remove(closed.removeFirst().ref)
+        ) {
+            closedRefs.remove(closed.removeFirst().ref)
+        }
     }
 
-    fun onWritten(revision: Revision, now: Instant) {
+    fun onWritten(
+        revision: Revision,
+        now: Instant,
+    ) {
         val b = batch ?: return
         batch = null
         for (f in b.onApplied) f(revision)
@@ -905,7 +1095,10 @@
      * Refused on [failed] keys. False when our term is over. A failed key that only this change can have created
      * means that an earlier, unanswered copy of it was applied.
      */
-    fun onRefused(failed: List<String>, now: Instant): Boolean {
+    fun onRefused(
+        failed: List<String>,
+        now: Instant,
+    ): Boolean {
         val b = batch ?: return true
         batch = null
         if (Keys.TERM in failed) return false
@@ -938,12 +1131,15 @@
             }
         }
         val aged = inOrder.filterTo(HashSet()) { it.submittedAtMs <= (overdue[it.spec.jobClass] ?: Long.MIN_VALUE) }
-        val order = inOrder.sortedWith(
-            compareBy(
-                { if (it in aged) 0 else 1 }, { if (it in guaranteed) 0 else 1 }, { it.spec.urgency.ordinal },
-                { it.submittedAtMs + (fleet.startDueS(it.spec) * 1000).toLong() },
-            ),
-        )
+        val order =
+            inOrder.sortedWith(
+                compareBy(
+                    { if (it in aged) 0 else 1 },
+                    { if (it in guaranteed) 0 else 1 },
+                    { it.spec.urgency.ordinal },
+                    { it.submittedAtMs + (fleet.startDueS(it.spec) * 1000).toLong() },
+                ),
+            )
         ranked = order
         rankedAt = now
         return order
@@ -968,17 +1164,19 @@
     fun queueByClass(): Map<String, Int> =
         jobs.values.groupBy { it.spec.jobClass }.mapValues { (_, l) -> l.sumOf { it.pending.cardinality() } }
 
-    fun machinesByState(): Map<String, Int> = machines.values.groupingBy {
-        when {
-            it.release == ReleaseStage.GONE -> "gone"
-            it.release != ReleaseStage.NONE -> "releasing"
-            it.up && it.deafSince != null -> "deaf"
-            it.up && it.attempts.isEmpty() -> "idle"
-            it.up -> "busy"
-            it.lapsedAt != null -> "silent"
-            else -> "starting"
-        }
-    }.eachCount()
+    fun machinesByState(): Map<String, Int> =
+        machines.values
+            .groupingBy {
+                when {
+                    it.release == ReleaseStage.GONE -> "gone"
+                    it.release != ReleaseStage.NONE -> "releasing"
+                    it.up && it.deafSince != null -> "deaf"
+                    it.up && it.attempts.isEmpty() -> "idle"
+                    it.up -> "busy"
+                    it.lapsedAt != null -> "silent"
+                    else -> "starting"
+                }
+            }.eachCount()
 
     companion object {
         /** A worker waits this long for an answer before it turns to another controller. */
@@ -986,6 +1184,7 @@
 
         /** Past every message a machine can send: it was returned and will say nothing new. */
         private val LAST_POSITION = Position(Long.MAX_VALUE, Long.MAX_VALUE)
+
         /** A report comes every interval, give or take a quarter. */
         private const val REPORT_SPREAD = 1.25
         private const val SILENT_SLACK_MS = 1_500L
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -13,9 +13,9 @@
 import dewwing.protocol.Instant
 import dewwing.protocol.JobShape
 import dewwing.protocol.JobSpec
-import dewwing.protocol.ObjectiveKind
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
+import dewwing.protocol.ObjectiveKind
 import dewwing.protocol.Resources
 import dewwing.protocol.Span
 import dewwing.protocol.Term
@@ -38,9 +38,18 @@
 
     private enum class RentStage { TO_LOG, TO_ASK, ASKED, ANSWERED, WRITTEN }
 
-    private class Rental(var record: RentRecord, var stage: RentStage, var notBefore: Instant, val since: Instant)
+    private class Rental(
+        var record: RentRecord,
+        var stage: RentStage,
+        var notBefore: Instant,
+        val since: Instant,
+    )
 
-    private data class Market(val type: String, val zone: String, val spot: Boolean)
+    private data class Market(
+        val type: String,
+        val zone: String,
+        val spot: Boolean,
+    )
 
     private val rentals = LinkedHashMap<String, Rental>()
     private val refusedUntil = HashMap<Market, Instant>()
@@ -68,13 +77,20 @@
 
     // ---- events ----------------------------------------------------------------------------------------------
 
-    fun restoreRent(key: String, record: RentRecord, now: Instant) {
+    fun restoreRent(
+        key: String,
+        record: RentRecord,
+        now: Instant,
+    ) {
         val stage = if (record.rented == null) RentStage.TO_ASK else RentStage.WRITTEN
         rentals[key] = Rental(record, stage, now, now)
         record.rented?.forEach { machineOf(it, record.order, now) }
     }
 
-    fun releaseLogged(key: String, record: ReleaseRecord) {
+    fun releaseLogged(
+        key: String,
+        record: ReleaseRecord,
+    ) {
         releaseRecords[key] = LinkedHashSet(record.machines)
         for (id in record.machines) releasesLogged[id] = Instant.NEVER
     }
@@ -89,7 +105,11 @@
         log.info("machine {} is up: {}{} in {}", machine.id, machine.type?.name, spotLabel(machine.spot), machine.zone)
     }
 
-    fun onRented(key: String, rented: List<MachineId>?, now: Instant) {
+    fun onRented(
+        key: String,
+        rented: List<MachineId>?,
+        now: Instant,
+    ) {
         val rental = rentals[key] ?: return
         val order = rental.record.order
         val market = Market(order.type, order.zone, order.spot)
@@ -113,19 +133,29 @@
     }
 
     /** No answer: the same order is asked again, under the same name. */
-    fun onRentUnknown(key: String, now: Instant) {
+    fun onRentUnknown(
+        key: String,
+        now: Instant,
+    ) {
         val rental = rentals[key] ?: return
         rental.stage = RentStage.TO_ASK
         rental.notBefore = now + tunables.collectorPeriod
     }
 
-    fun onReleaseUnknown(ids: List<MachineId>, now: Instant) {
+    fun onReleaseUnknown(
+        ids: List<MachineId>,
+        now: Instant,
+    ) {
         for (id in ids) if (id in releasesLogged) releasesLogged[id] = now + tunables.collectorPeriod
     }
 
     private fun spotLabel(spot: Boolean) = if (spot) " (spot)" else ""
 
-    private fun machineOf(id: MachineId, order: RentOrder, now: Instant) {
+    private fun machineOf(
+        id: MachineId,
+        order: RentOrder,
+        now: Instant,
+    ) {
         machines.getOrPut(id) { Machine(id, now) }.describe(types[order.type], order.zone, order.spot)
     }
 
@@ -136,18 +166,27 @@
         val wanted = machines.values.filter { it.release == ReleaseStage.WANTED }
         if (wanted.isEmpty()) return emptyList()
         val perRecord = minOf(MAX_RELEASE, maxOf(1, bytes / (wanted.maxOf { it.id.value.length } + RELEASE_ENTRY_BYTES)))
-        return wanted.sortedByDescending { if (it.spot) it.type?.spotPrice else it.type?.price }.chunked(perRecord)
+        return wanted
+            .sortedByDescending { if (it.spot) it.type?.spotPrice else it.type?.price }
+            .chunked(perRecord)
             .map { part -> Keys.release(term.value * TERM_STRIDE + nextRelease++) to ReleaseRecord(part.map { it.id }) }
     }
 
-    fun rentWrites(): List<Pair<String, RentRecord>> = rentals.entries
-        .filter { it.value.stage == RentStage.TO_LOG || it.value.stage == RentStage.ANSWERED }
-        .map { it.key to it.value.record }
+    fun rentWrites(): List<Pair<String, RentRecord>> =
+        rentals.entries
+            .filter { it.value.stage == RentStage.TO_LOG || it.value.stage == RentStage.ANSWERED }
+            .map { it.key to it.value.record }
 
-    fun rentWritten(key: String, record: RentRecord) {
+    fun rentWritten(
+        key: String,
+        record: RentRecord,
+    ) {
         val rental = rentals[key] ?: return
-        if (record.rented != null) rental.stage = RentStage.WRITTEN
-        else if (rental.stage == RentStage.TO_LOG) rental.stage = RentStage.TO_ASK
+        if (record.rented != null) {
+            rental.stage = RentStage.WRITTEN
+        } else if (rental.stage == RentStage.TO_LOG) {
+            rental.stage = RentStage.TO_ASK
+        }
     }
 
     /** Logged rentals and releases whose call is due. */
@@ -184,7 +223,11 @@
     // ---- wanted state ----------------------------------------------------------------------------------------
 
     /** Works out what is missing and what is too much; orders wait for their log record. */
-    fun plan(now: Instant, ranked: List<Job>, wallNowMs: Long) {
+    fun plan(
+        now: Instant,
+        ranked: List<Job>,
+        wallNowMs: Long,
+    ) {
         if (now - planAt < PLAN_EVERY) return
         planAt = now
         if (types.isEmpty()) return
@@ -205,12 +248,19 @@
         retire(now, bins)
     }
 
-    private class Arrival(val at: Instant, val spec: JobSpec, val machines: Int)
+    private class Arrival(
+        val at: Instant,
+        val spec: JobSpec,
+        val machines: Int,
+    )
 
     /** Jobs of the last while that could not wait for a boot. */
     private val arrivals = ArrayDeque<Arrival>()
 
-    fun urgentArrived(spec: JobSpec, now: Instant) {
+    fun urgentArrived(
+        spec: JobSpec,
+        now: Instant,
+    ) {
         arrivals.addLast(Arrival(now, spec, machinesFor(spec)))
     }
 
@@ -219,7 +269,10 @@
      * may be stopped for them. Machines that run work of their own priority give none, and when all do the next job
      * waits for a boot (days of kestrel-crashdesk-grown, first minutes: gangs waited up to 27 s).
      */
-    private fun standBy(bins: MutableList<Bin>, now: Instant) {
+    private fun standBy(
+        bins: MutableList<Bin>,
+        now: Instant,
+    ) {
         while (arrivals.isNotEmpty() && now - arrivals.first().at > ARRIVALS_KEPT) arrivals.removeFirst()
         val newest = arrivals.lastOrNull() ?: return
         val spec = newest.spec
@@ -229,8 +282,12 @@
         for (bin in bins) {
             if (missing <= 0) return
             if (!allowed(spec, useful, bin)) continue
-            val yielding = bin.machine?.attempts?.values?.filter { it.job.spec.urgency > spec.urgency && !it.job.isGang }
-                ?.fold(Resources.NONE) { sum, a -> sum + a.job.spec.need } ?: Resources.NONE
+            val yielding =
+                bin.machine
+                    ?.attempts
+                    ?.values
+                    ?.filter { it.job.spec.urgency > spec.urgency && !it.job.isGang }
+                    ?.fold(Resources.NONE) { sum, a -> sum + a.job.spec.need } ?: Resources.NONE
             if (!(bin.free + yielding).holds(spec.need)) continue
             bin.claimed = true
             missing--
@@ -240,7 +297,13 @@
         order(type, zone, spot, minOf(missing, MAX_RENT, openTo(Market(type.name, zone, spot))), now)
     }
 
-    private class Bin(val type: MachineType, val zone: String, val spot: Boolean, var free: Resources, val machine: Machine?) {
+    private class Bin(
+        val type: MachineType,
+        val zone: String,
+        val spot: Boolean,
+        var free: Resources,
+        val machine: Machine?,
+    ) {
         var claimed = false
     }
 
@@ -261,15 +324,22 @@
     }
 
     /** Takes nothing yet, but is expected to before a machine ordered now would. */
-    private fun aboutToAccept(m: Machine, type: MachineType, now: Instant): Boolean {
+    private fun aboutToAccept(
+        m: Machine,
+        type: MachineType,
+        now: Instant,
+    ): Boolean {
         if (m.release != ReleaseStage.NONE || m.listedFailed || m.faulty || m.noticeAt != null) return false
         val lapsed = m.lapsedAt
         val deaf = m.deafSince
         return when {
             // Has yet to learn our term, or to show after a cut that it hears us: a report or two.
-            m.up -> deaf == null || lapsed != null && now - deaf < settlesWithin
+            m.up -> deaf == null || (lapsed != null && now - deaf < settlesWithin)
+
             lapsed != null -> false
+
             (now - m.rentedAt).seconds < type.bootS * SLOW_START + LEEWAY_S -> true
+
             else -> m.lastListed != null && now - since < settlesWithin
         }
     }
@@ -278,7 +348,11 @@
      * Tasks of each job that should get a place of their own now. Gangs: all. Arrays: as many places as let the
      * class's jobs, oldest first, start in a share of the time their objectives give.
      */
-    private fun demand(ranked: List<Job>, now: Instant, wallNowMs: Long): List<Pair<Job, Int>> {
+    private fun demand(
+        ranked: List<Job>,
+        now: Instant,
+        wallNowMs: Long,
+    ): List<Pair<Job, Int>> {
         val out = ArrayList<Pair<Job, Int>>()
         val arrays = LinkedHashMap<String, MutableList<Job>>()
         for (job in ranked) {
@@ -322,9 +396,14 @@
      * Time from submission within which the class's work is to be done. An aim for starts is met once the last task
      * has begun, so its run comes on top: taken as an aim for the end it rents half as many machines again as needed.
      */
-    fun horizonS(jobClass: String, runS: Double): Double {
-        val within = settings.objectives.filter { it.jobClass == jobClass }
-            .minOfOrNull { if (it.kind == ObjectiveKind.WAIT) it.withinS + runS else it.withinS } ?: DEFAULT_HORIZON_S
+    fun horizonS(
+        jobClass: String,
+        runS: Double,
+    ): Double {
+        val within =
+            settings.objectives
+                .filter { it.jobClass == jobClass }
+                .minOfOrNull { if (it.kind == ObjectiveKind.WAIT) it.withinS + runS else it.withinS } ?: DEFAULT_HORIZON_S
         return within * HORIZON_SHARE
     }
 
@@ -356,9 +435,18 @@
         return within < lead
     }
 
-    fun fetchS(spec: JobSpec, type: MachineType): Double = spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
-
-    private fun cover(job: Job, count: Int, open: MutableList<Bin>, bins: MutableList<Bin>, now: Instant) {
+    fun fetchS(
+        spec: JobSpec,
+        type: MachineType,
+    ): Double = spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
+
+    private fun cover(
+        job: Job,
+        count: Int,
+        open: MutableList<Bin>,
+        bins: MutableList<Bin>,
+        now: Instant,
+    ) {
         val spec = job.spec
         var missing = count
         val useful = Placer.usefulTypes(spec, types.values)
@@ -393,10 +481,17 @@
     }
 
     /** [useful] are the types worth using for the job, worked out once for all machines. */
-    private fun allowed(spec: JobSpec, useful: List<MachineType>, bin: Bin): Boolean =
-        (spec.spot || !bin.spot) && (spec.zone == null || spec.zone == bin.zone) && useful.any { it.name == bin.type.name }
-
-    private fun bestMarket(spec: JobSpec, missing: Int, now: Instant): Triple<MachineType, String, Boolean>? {
+    private fun allowed(
+        spec: JobSpec,
+        useful: List<MachineType>,
+        bin: Bin,
+    ): Boolean = (spec.spot || !bin.spot) && (spec.zone == null || spec.zone == bin.zone) && useful.any { it.name == bin.type.name }
+
+    private fun bestMarket(
+        spec: JobSpec,
+        missing: Int,
+        now: Instant,
+    ): Triple<MachineType, String, Boolean>? {
         var best: Triple<MachineType, String, Boolean>? = null
         var bestCost = Double.MAX_VALUE
         for (type in Placer.usefulTypes(spec, types.values)) {
@@ -437,13 +532,20 @@
         return most - ordered
     }
 
-    private fun order(type: MachineType, zone: String, spot: Boolean, count: Int, now: Instant) {
+    private fun order(
+        type: MachineType,
+        zone: String,
+        spot: Boolean,
+        count: Int,
+        now: Instant,
+    ) {
         // Wants of one round for the same market become one order: each costs two records and a call.
-        val same = rentals.values.firstOrNull { r ->
-            val o = r.record.order
-            r.stage == RentStage.TO_LOG && r.since == now && o.type == type.name && o.zone == zone && o.spot == spot &&
-                o.count + count <= MAX_RENT
-        }
+        val same =
+            rentals.values.firstOrNull { r ->
+                val o = r.record.order
+                r.stage == RentStage.TO_LOG && r.since == now && o.type == type.name && o.zone == zone && o.spot == spot &&
+                    o.count + count <= MAX_RENT
+            }
         if (same != null) {
             same.record = RentRecord(same.record.order.copy(count = same.record.order.count + count), null)
             return
@@ -454,7 +556,10 @@
         log.info("wanted: {} {}{} in {}", count, type.name, spotLabel(spot), zone)
     }
 
-    private fun retire(now: Instant, bins: List<Bin>) {
+    private fun retire(
+        now: Instant,
+        bins: List<Bin>,
+    ) {
         val claimed = bins.filter { it.claimed }.mapNotNullTo(HashSet()) { it.machine?.id }
         for (m in machines.values) {
             if (m.release != ReleaseStage.NONE || m.attempts.isNotEmpty()) continue
@@ -464,19 +569,45 @@
         }
     }
 
-    private fun reasonToReturn(m: Machine, now: Instant, claimed: Boolean): String? {
+    private fun reasonToReturn(
+        m: Machine,
+        now: Instant,
+        claimed: Boolean,
+    ): String? {
         val boot = m.type?.bootS ?: DEFAULT_BOOT_S
         val lapsed = m.lapsedAt
         return when {
-            m.listedFailed -> "it failed"
-            m.faulty -> "it is faulty"
-            m.noticeAt != null -> "the cloud takes it back"
-            m.deafSince?.let { now - it > silentKeep } == true -> "it does not hear us"
-            m.up -> if (!claimed && now - m.idleSince > tunables.idleKeep) "it is idle" else null
-            lapsed != null -> if (now - lapsed > silentKeep) "it is silent" else null
-            (now - m.rentedAt).seconds > boot * GIVE_UP_START + LEEWAY_S && now - m.knownSince > silentKeep ->
+            m.listedFailed -> {
+                "it failed"
+            }
+
+            m.faulty -> {
+                "it is faulty"
+            }
+
+            m.noticeAt != null -> {
+                "the cloud takes it back"
+            }
+
+            m.deafSince?.let { now - it > silentKeep } == true -> {
+                "it does not hear us"
+            }
+
+            m.up -> {
+                if (!claimed && now - m.idleSince > tunables.idleKeep) "it is idle" else null
+            }
+
+            lapsed != null -> {
+                if (now - lapsed > silentKeep) "it is silent" else null
+            }
+
+            (now - m.rentedAt).seconds > boot * GIVE_UP_START + LEEWAY_S && now - m.knownSince > silentKeep -> {
                 "it does not come up"
-            else -> null
+            }
+
+            else -> {
+                null
+            }
         }
     }
 
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -11,7 +11,10 @@
 import dewwing.protocol.TaskRef
 
 /** What is known of one machine. Its type is unknown while only a log names it. */
-class Machine(val id: MachineId, val knownSince: Instant) {
+class Machine(
+    val id: MachineId,
+    val knownSince: Instant,
+) {
     var type: MachineType? = null
         set(value) {
             field = value
@@ -80,7 +83,11 @@
     val images = LinkedHashSet<String>()
 
     /** What it is, from whoever tells first: a report, a list or the answer to a rental. */
-    fun describe(type: MachineType?, zone: String, spot: Boolean) {
+    fun describe(
+        type: MachineType?,
+        zone: String,
+        spot: Boolean,
+    ) {
         if (this.type != null) return
         this.type = type
         this.zone = zone
@@ -92,7 +99,10 @@
         used += attempt.job.spec.need
     }
 
-    fun detach(attempt: Attempt, now: Instant) {
+    fun detach(
+        attempt: Attempt,
+        now: Instant,
+    ) {
         if (attempts[attempt.ref] !== attempt) return
         attempts.remove(attempt.ref)
         used = if (attempts.isEmpty()) Resources.NONE else used - attempt.job.spec.need
--- a/src/main/kotlin/dewwing/control/core/intent/Records.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/Records.kt
@@ -35,15 +35,30 @@
     private const val STEP_DIGITS = 9
 
     fun job(ref: JobRef): String = JOBS + ref.value
+
     fun jobOf(key: String): JobRef? = JobRef.parse(key.removePrefix(JOBS))
-    fun log(ref: JobRef, step: Step): String = "$LOGS${ref.value}/${digits(step.value)}"
+
+    fun log(
+        ref: JobRef,
+        step: Step,
+    ): String = "$LOGS${ref.value}/${digits(step.value)}"
+
     fun rent(step: Long): String = RENTS + digits(step)
+
     fun release(step: Long): String = RELEASES + digits(step)
 
     /** Exists once the leader's changes up to a point are certain: every change is conditional on the next one's absence. */
-    fun fence(term: Term, number: Long): String = "$FENCES${digits(term.value)}/${digits(number)}"
-
-    fun termOfFence(key: String): Term? = key.removePrefix(FENCES).substringBefore('/').toLongOrNull()?.let(::Term)
+    fun fence(
+        term: Term,
+        number: Long,
+    ): String = "$FENCES${digits(term.value)}/${digits(number)}"
+
+    fun termOfFence(key: String): Term? =
+        key
+            .removePrefix(FENCES)
+            .substringBefore('/')
+            .toLongOrNull()
+            ?.let(::Term)
 
     fun logOf(key: String): Pair<JobRef, Step>? {
         val parts = key.removePrefix(LOGS).split('/')
@@ -58,7 +73,11 @@
  * The intent record of a job. Once final it is kept for ever; a finished job needs its description no more, while a
  * cancelled one keeps it until its last task is proven gone, since those still count against the team's limit.
  */
-data class JobRecord(val stage: JobStage, val spec: JobSpec?, val submittedAtMs: Long) {
+data class JobRecord(
+    val stage: JobStage,
+    val spec: JobSpec?,
+    val submittedAtMs: Long,
+) {
     val isFinal: Boolean get() = stage == JobStage.DONE || stage == JobStage.ABORTED
 
     fun toValue(): Map<String, Any?> {
@@ -81,8 +100,14 @@
 }
 
 /** One step of a job: what was placed under this attempt number, and which tasks had finished by then. */
-data class LogRecord(val placed: List<Placed>, val done: BitSet) {
-    data class Placed(val machine: MachineId, val tasks: BitSet)
+data class LogRecord(
+    val placed: List<Placed>,
+    val done: BitSet,
+) {
+    data class Placed(
+        val machine: MachineId,
+        val tasks: BitSet,
+    )
 
     fun toValue(): Map<String, Any?> {
         val value = linkedMapOf<String, Any?>()
@@ -93,10 +118,11 @@
 
     companion object {
         fun of(value: Map<String, Any?>): LogRecord {
-            val on = (value["on"] as? List<*> ?: emptyList<Any?>()).map { entry ->
-                val pair = (entry as? List<*>)?.takeIf { it.size == 2 } ?: throw MalformedException("on")
-                Placed(MachineId(pair[0] as? String ?: throw MalformedException("on")), Ranges.decode(pair[1]))
-            }
+            val on =
+                (value["on"] as? List<*> ?: emptyList<Any?>()).map { entry ->
+                    val pair = (entry as? List<*>)?.takeIf { it.size == 2 } ?: throw MalformedException("on")
+                    Placed(MachineId(pair[0] as? String ?: throw MalformedException("on")), Ranges.decode(pair[1]))
+                }
             return LogRecord(on, value["done"]?.let(Ranges::decode) ?: BitSet())
         }
     }
@@ -133,7 +159,10 @@
     fun size(set: BitSet): Int = encode(set).sumOf { it.toString().length + 1 }
 
     /** The lowest members of [set] that fit in [bytes] when written. */
-    fun fitting(set: BitSet, bytes: Int): BitSet {
+    fun fitting(
+        set: BitSet,
+        bytes: Int,
+    ): BitSet {
         var room = bytes
         val out = BitSet()
         var from = set.nextSetBit(0)
@@ -149,12 +178,19 @@
 }
 
 /** A rental: logged before the cloud is asked; [rented] is filled in with the answer. */
-data class RentRecord(val order: RentOrder, val rented: List<MachineId>?) {
+data class RentRecord(
+    val order: RentOrder,
+    val rented: List<MachineId>?,
+) {
     fun toValue(): Map<String, Any?> {
-        val value = linkedMapOf<String, Any?>(
-            "ask" to order.ask, "type" to order.type, "zone" to order.zone, "spot" to order.spot,
-            "count" to order.count,
-        )
+        val value =
+            linkedMapOf<String, Any?>(
+                "ask" to order.ask,
+                "type" to order.type,
+                "zone" to order.zone,
+                "spot" to order.spot,
+                "count" to order.count,
+            )
         if (rented != null) value["rented"] = rented.map { it.value }
         return value
     }
@@ -172,12 +208,17 @@
  * Machines on their way back to the cloud, as many as one call takes: a record for each would make the change rate
  * decide how fast a fleet shrinks.
  */
-data class ReleaseRecord(val machines: List<MachineId>) {
+data class ReleaseRecord(
+    val machines: List<MachineId>,
+) {
     fun toValue(): Map<String, Any?> = mapOf("machines" to machines.map { it.value })
 
     companion object {
         /** Records of version 0.1.0 name one machine, in their [key]. */
-        fun of(key: String, value: Map<String, Any?>): ReleaseRecord {
+        fun of(
+            key: String,
+            value: Map<String, Any?>,
+        ): ReleaseRecord {
             val listed = Fields(value).textsOrNull("machines") ?: listOf(key.removePrefix(Keys.RELEASES))
             return ReleaseRecord(listed.map(::MachineId))
         }
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -35,7 +35,13 @@
 }
 
 /** One start of one task. While it exists the task may be on [machine]. */
-class Attempt(val job: Job, val task: Int, val number: Step, val machine: Machine, var phase: AttemptPhase) {
+class Attempt(
+    val job: Job,
+    val task: Int,
+    val number: Step,
+    val machine: Machine,
+    var phase: AttemptPhase,
+) {
     val ref = TaskRef(job.ref, task)
 
     /** The report whose answer carried the launch: only a later report says anything about it. */
@@ -52,7 +58,11 @@
 }
 
 /** A job's wanted state and what is known of its tasks. */
-class Job(val spec: JobSpec, var revision: Revision, val submittedAtMs: Long) {
+class Job(
+    val spec: JobSpec,
+    var revision: Revision,
+    val submittedAtMs: Long,
+) {
     val ref: JobRef get() = spec.ref
     val isGang: Boolean get() = spec.shape == JobShape.GANG
 
@@ -112,7 +122,10 @@
 
     fun takeStep(): Step = Step(nextStep++)
 
-    fun markDone(task: Int, now: Instant) {
+    fun markDone(
+        task: Int,
+        now: Instant,
+    ) {
         if (done[task]) return
         done.set(task)
         doneCount++
--- a/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
@@ -33,13 +33,10 @@
     /** Life of the hold on the state service. */
     val holdTtl: Span,
     val holdMargin: Span,
-
     /** How old a sibling's word may be in an outage. */
     val wordAge: Span,
-
     /** How old the leader's reading of the jobs may be while it renews leases; see [Leadership.informed]. */
     val readingAge: Span,
-
     /** A leader that has not read its picture yet may renew leases if its predecessor had one. */
     val mayInherit: Boolean,
 ) {
@@ -52,12 +49,17 @@
          * leader without a picture one more within a lease of that: only where two leases and a reading's age fit
          * into the time may it give that one.
          */
-        fun of(workers: WorkerTimes, holdTtl: Span, wordAge: Span): LeadershipTimes {
+        fun of(
+            workers: WorkerTimes,
+            holdTtl: Span,
+            wordAge: Span,
+        ): LeadershipTimes {
             val lease = leaseWithDrift(workers.lease)
             val room = Span(workers.cancel.ms - lease.ms - ANSWER.ms)
             val reading = Span(minOf(READING_AGE.ms, room.ms).coerceAtLeast(0))
             return LeadershipTimes(
-                holdTtl, Span(HOLD_MARGIN_MS),
+                holdTtl,
+                Span(HOLD_MARGIN_MS),
                 wordAge = Span(minOf(wordAge.ms, room.ms).coerceAtLeast(0)),
                 readingAge = reading,
                 mayInherit = lease.ms + reading.ms <= room.ms,
@@ -91,7 +93,10 @@
  * Renewing a lease keeps the tasks of jobs alive whose cancellation it has not heard of. So it renews only while it is
  * [informed], and gives that up early enough for a lease to run out within the time that a cancellation has.
  */
-class Leadership(private val times: LeadershipTimes, private val siblings: Set<String>) {
+class Leadership(
+    private val times: LeadershipTimes,
+    private val siblings: Set<String>,
+) {
     var term: Term = Term.NONE
         private set
     private var holdUntil: Instant = Instant.NEVER
@@ -116,14 +121,21 @@
     }
 
     /** [word] came in [now]; its cancellations have been passed on to whoever must know them. */
-    fun heard(sibling: String, word: SiblingWord, now: Instant) {
+    fun heard(
+        sibling: String,
+        word: SiblingWord,
+        now: Instant,
+    ) {
         val before = words.put(sibling, word)
         if (before == null || before.incarnation != word.incarnation) firstHeard[sibling] = now
         heardTerm(word.highestTerm)
     }
 
     /** Elected, under a hold whose last renewal was sent at [holdSentAt]. */
-    fun elected(term: Term, holdSentAt: Instant) {
+    fun elected(
+        term: Term,
+        holdSentAt: Instant,
+    ) {
         this.term = term
         heardTerm(term)
         resigned = false
@@ -148,7 +160,10 @@
         holdUntil = Instant.NEVER
     }
 
-    fun authority(now: Instant, stateFailing: Boolean): Authority {
+    fun authority(
+        now: Instant,
+        stateFailing: Boolean,
+    ): Authority {
         if (resigned || highestTerm > term) return Authority.NONE
         if (now < holdUntil) return Authority.FULL
         if (broken) return Authority.NONE
@@ -175,9 +190,10 @@
      * Every sibling has lately told all it told its users. What its earlier incarnations told must have been read: they
      * had ended before the present one was first heard, so a reading asked for after that shows it.
      */
-    private fun toldBySiblings(now: Instant): Boolean = siblings.all { name ->
-        val word = words[name]
-        val since = firstHeard[name]
-        word != null && since != null && word.tellsAll && now - word.at <= times.wordAge && since <= readAt
-    }
+    private fun toldBySiblings(now: Instant): Boolean =
+        siblings.all { name ->
+            val word = words[name]
+            val since = firstHeard[name]
+            word != null && since != null && word.tellsAll && now - word.at <= times.wordAge && since <= readAt
+        }
 }
--- a/src/main/kotlin/dewwing/control/core/leadership/ToldCancellations.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/ToldCancellations.kt
@@ -5,7 +5,10 @@
 import java.util.TreeSet
 
 /** A cancelled job, and the revision at which the state service made it so. */
-data class Cancellation(val job: JobRef, val revision: Revision)
+data class Cancellation(
+    val job: JobRef,
+    val revision: Revision,
+)
 
 /**
  * The cancellations that this process has told users of, for a leader that the state service refuses.
@@ -14,7 +17,9 @@
  * changes, so nothing needs to be acknowledged: what it has not heard stays newer than what it names. At most [limit]
  * are kept, the newest; a leader that is behind what was dropped gets no list, which it must take for no word.
  */
-class ToldCancellations(private val limit: Int = LIMIT) {
+class ToldCancellations(
+    private val limit: Int = LIMIT,
+) {
     private val told = TreeSet(compareBy<Cancellation>({ it.revision }, { it.job.value }))
 
     /** The newest revision that was dropped. */
@@ -27,8 +32,7 @@
     }
 
     /** All that came after [known]; null when some of it was dropped. */
-    fun since(known: Revision): List<Cancellation>? =
-        if (floor > known) null else told.filter { it.revision > known }
+    fun since(known: Revision): List<Cancellation>? = if (floor > known) null else told.filter { it.revision > known }
 
     companion object {
         private const val LIMIT = 512
--- a/src/main/kotlin/dewwing/control/core/leadership/WorkerWatch.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/WorkerWatch.kt
@@ -11,7 +11,10 @@
  *
  * Ticks are counted, not time: a process that was stalled first reads what has come in meanwhile.
  */
-class WorkerWatch(report: Span, lease: Span) {
+class WorkerWatch(
+    report: Span,
+    lease: Span,
+) {
     private val near = (report.ms * REPORTS).toLong() / TICK.ms + SLACK_TICKS
     private val far = lease.ms * 2 / 3 / TICK.ms
     private var quiet = 0L
@@ -21,7 +24,11 @@
     }
 
     /** One [TICK] has gone by; [machines] are those whose leases run by our books. True when it is time to hand over. */
-    fun tick(machines: Int, siblingsHeard: Boolean, workersElsewhere: Boolean): Boolean {
+    fun tick(
+        machines: Int,
+        siblingsHeard: Boolean,
+        workersElsewhere: Boolean,
+    ): Boolean {
         quiet++
         if (machines < LEAST_MACHINES || quiet < near) return false
         return if (siblingsHeard) workersElsewhere else quiet >= far
--- a/src/main/kotlin/dewwing/control/core/placement/Openings.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Openings.kt
@@ -13,8 +13,16 @@
  * none that is too full for any job that waits. Without it every waiting job looked at every machine in every round,
  * which at a thousand machines and a hundred jobs is more than a small processor share holds.
  */
-class Openings(machines: Collection<Machine>, waiting: Collection<Job>, private val effort: Effort) {
-    private class Group(val type: MachineType, val zone: String, val spot: Boolean) {
+class Openings(
+    machines: Collection<Machine>,
+    waiting: Collection<Job>,
+    private val effort: Effort,
+) {
+    private class Group(
+        val type: MachineType,
+        val zone: String,
+        val spot: Boolean,
+    ) {
         val all = ArrayList<Machine>()
         var roomy: List<Machine> = emptyList()
         val stoppable = HashMap<Urgency, List<Machine>>()
@@ -34,8 +42,9 @@
     init {
         for (m in machines) {
             val type = m.type ?: continue
-            val group = groups.firstOrNull { it.type.name == type.name && it.spot == m.spot && it.zone == m.zone }
-                ?: Group(type, m.zone, m.spot).also(groups::add)
+            val group =
+                groups.firstOrNull { it.type.name == type.name && it.spot == m.spot && it.zone == m.zone }
+                    ?: Group(type, m.zone, m.spot).also(groups::add)
             group.all.add(m)
         }
         effort.look(machines.size)
@@ -48,13 +57,17 @@
     }
 
     /** Machines of [types], or of any type that [job] may use, that can hold one of its tasks now. */
-    fun roomFor(job: Job, types: Set<String>?, also: (Machine) -> Boolean = { true }): List<Machine> {
+    fun roomFor(
+        job: Job,
+        types: Set<String>?,
+        also: (Machine) -> Boolean = { true },
+    ): List<Machine> {
         val out = ArrayList<Machine>()
         for (group in groups) {
-            if (types != null && group.type.name !in types || !group.allows(job.spec)) continue
+            if ((types != null && group.type.name !in types) || !group.allows(job.spec)) continue
             effort.look(group.roomy.size)
             for (m in group.roomy) {
-                if (!m.free.holds(job.spec.need) || !open(m, job) || job.failedOn.isNotEmpty() && m.id.value in job.failedOn) continue
+                if (!m.free.holds(job.spec.need) || !open(m, job) || (job.failedOn.isNotEmpty() && m.id.value in job.failedOn)) continue
                 if (also(m)) out.add(m)
             }
         }
@@ -62,14 +75,18 @@
     }
 
     /** Machines that [job] may use where it finds room, or tasks that may be stopped for it. */
-    fun stoppableFor(job: Job, preemption: Preemption): List<Machine> {
+    fun stoppableFor(
+        job: Job,
+        preemption: Preemption,
+    ): List<Machine> {
         val out = ArrayList<Machine>()
         for (group in groups) {
             if (!group.allows(job.spec)) continue
-            val some = group.stoppable.getOrPut(job.spec.urgency) {
-                effort.look(group.all.size)
-                group.all.filter { m -> m in roomySet || m.attempts.values.any { preemption.mayStop(it, job.spec.urgency) } }
-            }
+            val some =
+                group.stoppable.getOrPut(job.spec.urgency) {
+                    effort.look(group.all.size)
+                    group.all.filter { m -> m in roomySet || m.attempts.values.any { preemption.mayStop(it, job.spec.urgency) } }
+                }
             effort.look(some.size)
             // Room kept where the job has failed before would be used by nobody: it is not placed there.
             for (m in some) if (open(m, job) && m.id.value !in job.failedOn) out.add(m)
@@ -85,8 +102,10 @@
     fun reserve(job: Job) {
         var missing = job.spec.tasks
         while (missing > 0) {
-            val group = groups.filter { it.allows(job.spec) && it.reservedTo < it.nearestFree.size }
-                .minByOrNull { it.nearestFree[it.reservedTo].attempts.size } ?: return
+            val group =
+                groups
+                    .filter { it.allows(job.spec) && it.reservedTo < it.nearestFree.size }
+                    .minByOrNull { it.nearestFree[it.reservedTo].attempts.size } ?: return
             effort.look(1)
             val m = group.nearestFree[group.reservedTo++]
             if (!open(m, job) || !reserved.add(m)) continue
@@ -94,5 +113,8 @@
         }
     }
 
-    private fun open(m: Machine, job: Job) = (m.keptFor == null || m.keptFor === job) && (reserved.isEmpty() || m !in reserved)
+    private fun open(
+        m: Machine,
+        job: Job,
+    ) = (m.keptFor == null || m.keptFor === job) && (reserved.isEmpty() || m !in reserved)
 }
--- a/src/main/kotlin/dewwing/control/core/placement/Placement.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Placement.kt
@@ -7,12 +7,19 @@
 import dewwing.protocol.Resources
 
 /** How many tasks of a job go to which machine. */
-data class Placement(val machine: Machine, val count: Int)
+data class Placement(
+    val machine: Machine,
+    val count: Int,
+)
 
 /** Which machines a job may use, and the fullest fit among them. */
 object Placer {
     /** Share of the resource that is scarcest on the machine once [extra] is added to what it holds. */
-    fun fullness(size: Resources, used: Resources, extra: Resources): Double {
+    fun fullness(
+        size: Resources,
+        used: Resources,
+        extra: Resources,
+    ): Double {
         var full = 0.0
         if (size.cores > 0) full = maxOf(full, (used.cores + extra.cores) / size.cores)
         if (size.accelerators > 0) full = maxOf(full, (used.accelerators + extra.accelerators) / size.accelerators)
@@ -20,21 +27,29 @@
         return full
     }
 
-    fun typeAllowed(spec: JobSpec, type: MachineType): Boolean =
-        (spec.types == null || type.name in spec.types) && type.size.holds(spec.need)
+    fun typeAllowed(
+        spec: JobSpec,
+        type: MachineType,
+    ): Boolean = (spec.types == null || type.name in spec.types) && type.size.holds(spec.need)
 
     /**
      * Types worth using: a machine with accelerators is left to tasks that need them as long as another type can
      * hold the task. Fullest fit alone would fill accelerator machines with work that blocks the gangs.
      */
-    fun usefulTypes(spec: JobSpec, types: Collection<MachineType>): List<MachineType> {
+    fun usefulTypes(
+        spec: JobSpec,
+        types: Collection<MachineType>,
+    ): List<MachineType> {
         val allowed = types.filter { typeAllowed(spec, it) }
         if (spec.need.accelerators > 0) return allowed
         val plain = allowed.filter { it.size.accelerators <= 0 }
         return plain.ifEmpty { allowed }
     }
 
-    fun machineAllowed(spec: JobSpec, machine: Machine): Boolean {
+    fun machineAllowed(
+        spec: JobSpec,
+        machine: Machine,
+    ): Boolean {
         val type = machine.type ?: return false
         return typeAllowed(spec, type) && (spec.zone == null || spec.zone == machine.zone) && (spec.spot || !machine.spot)
     }
@@ -43,18 +58,33 @@
      * Places up to [limit] tasks of [job] (all of them or none, for a gang) on [machines], each on the machine it
      * leaves fullest. Tasks that may still be running count for the zone rules.
      */
-    fun place(job: Job, machines: List<Machine>, limit: Int): List<Placement> {
+    fun place(
+        job: Job,
+        machines: List<Machine>,
+        limit: Int,
+    ): List<Placement> {
         val spec = job.spec
         if (limit <= 0) return emptyList()
         if (!spec.oneZone) return fill(job, machines, limit, spec.spread)
-        val held = job.live.values.firstOrNull()?.machine?.zone
+        val held =
+            job.live.values
+                .firstOrNull()
+                ?.machine
+                ?.zone
         if (held != null) return fill(job, machines.filter { it.zone == held }, limit, spec.spread)
-        return machines.groupBy { it.zone }.values
+        return machines
+            .groupBy { it.zone }
+            .values
             .map { fill(job, it, limit, spec.spread) }
             .maxByOrNull { placements -> placements.sumOf { it.count } } ?: emptyList()
     }
 
-    private fun fill(job: Job, machines: List<Machine>, limit: Int, spread: Boolean): List<Placement> {
+    private fun fill(
+        job: Job,
+        machines: List<Machine>,
+        limit: Int,
+        spread: Boolean,
+    ): List<Placement> {
         val spec = job.spec
         val perZone = HashMap<String, Int>()
         if (spread) for (a in job.live.values) perZone.merge(a.machine.zone, 1, Int::plus)
@@ -76,13 +106,21 @@
         return if (job.isGang && missing > 0) emptyList() else out
     }
 
-    private class Candidate(val machine: Machine, val ready: Boolean, val fullness: Long, val hasImage: Boolean)
+    private class Candidate(
+        val machine: Machine,
+        val ready: Boolean,
+        val fullness: Long,
+        val hasImage: Boolean,
+    )
 
     /**
      * The machines that can hold a task, the one it leaves fullest first. Where the fetch of the image is a good part
      * of the run, machines that have it come before that: the place is paid for while it only fetches.
      */
-    private fun ordered(spec: JobSpec, machines: List<Machine>): List<Machine> {
+    private fun ordered(
+        spec: JobSpec,
+        machines: List<Machine>,
+    ): List<Machine> {
         val fitting = ArrayList<Candidate>()
         for (m in machines) {
             val type = m.type ?: continue
--- a/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
@@ -11,44 +11,64 @@
 import dewwing.protocol.Urgency
 
 /** A machine with the tasks to be stopped there, the places that gives, and the work it costs. */
-class Room(val machine: Machine, val victims: List<Attempt>, val slots: Int, val costS: Double)
+class Room(
+    val machine: Machine,
+    val victims: List<Attempt>,
+    val slots: Int,
+    val costS: Double,
+)
 
 /**
  * Chooses which tasks of lower priority to stop so that a job which cannot wait for a machine to boot starts now:
  * where the least work is lost and the image is at hand.
  */
-class Preemption(private val quota: Quota, private val fetchS: (JobSpec, MachineType) -> Double) {
+class Preemption(
+    private val quota: Quota,
+    private val fetchS: (JobSpec, MachineType) -> Double,
+) {
     /** Rooms that together hold the job, or none; [allowed] are the machines it may use. */
-    fun plan(spec: JobSpec, allowed: List<Machine>, now: Instant): List<Room> {
+    fun plan(
+        spec: JobSpec,
+        allowed: List<Machine>,
+        now: Instant,
+    ): List<Room> {
         val wanted = if (spec.shape == JobShape.GANG) spec.tasks else minOf(spec.tasks, quota.room(spec))
         if (wanted <= 0 || quota.room(spec) < wanted) return emptyList()
         val rooms = allowed.filter { it.keptFor == null }.mapNotNull { roomOn(it, spec, now) }
         val zones = if (spec.oneZone) rooms.groupBy { it.machine.zone }.values else listOf(rooms)
-        return zones.mapNotNull { zone ->
-            val chosen = ArrayList<Room>()
-            var slots = 0
-            for (room in zone.sortedBy { it.costS / it.slots }) {
-                if (slots >= wanted) break
-                chosen.add(room)
-                slots += room.slots
-            }
-            chosen.takeIf { slots >= wanted }
-        }.minByOrNull { rooms -> rooms.sumOf { it.costS } } ?: emptyList()
+        return zones
+            .mapNotNull { zone ->
+                val chosen = ArrayList<Room>()
+                var slots = 0
+                for (room in zone.sortedBy { it.costS / it.slots }) {
+                    if (slots >= wanted) break
+                    chosen.add(room)
+                    slots += room.slots
+                }
+                chosen.takeIf { slots >= wanted }
+            }.minByOrNull { rooms -> rooms.sumOf { it.costS } } ?: emptyList()
     }
 
     /** Whether [a] may make way for work of [urgency]. */
-    fun mayStop(a: Attempt, urgency: Urgency): Boolean =
-        a.job.spec.urgency > urgency && !a.job.isGang && a.killGraceS == null && a.phase != AttemptPhase.LOGGING
+    fun mayStop(
+        a: Attempt,
+        urgency: Urgency,
+    ): Boolean = a.job.spec.urgency > urgency && !a.job.isGang && a.killGraceS == null && a.phase != AttemptPhase.LOGGING
 
     /** The cheapest tasks of lower priority to stop on [m] so that at least one task of [spec] fits. */
-    private fun roomOn(m: Machine, spec: JobSpec, now: Instant): Room? {
+    private fun roomOn(
+        m: Machine,
+        spec: JobSpec,
+        now: Instant,
+    ): Room? {
         val type = m.type ?: return null
         val victims = ArrayList<Attempt>()
         var free = m.free
         var cost = if (spec.image in m.images) 0.0 else fetchS(spec, type)
-        val candidates = m.attempts.values
-            .filter { mayStop(it, spec.urgency) }
-            .sortedBy { harmS(it, now) }
+        val candidates =
+            m.attempts.values
+                .filter { mayStop(it, spec.urgency) }
+                .sortedBy { harmS(it, now) }
         for (a in candidates) {
             if (free.holds(spec.need)) break
             victims.add(a)
@@ -63,10 +83,16 @@
      * What stopping [a] would do to its job. A task that has made way before counts as dearer: having just begun again
      * it loses the least, and would be stopped time after time while others of its kind run through.
      */
-    private fun harmS(a: Attempt, now: Instant): Double = lostS(a, now) + a.job.madeWay.get(a.task) * MADE_WAY_S
+    private fun harmS(
+        a: Attempt,
+        now: Instant,
+    ): Double = lostS(a, now) + a.job.madeWay.get(a.task) * MADE_WAY_S
 
     /** Work that stopping [a] would waste. */
-    private fun lostS(a: Attempt, now: Instant): Double {
+    private fun lostS(
+        a: Attempt,
+        now: Instant,
+    ): Double {
         val spec = a.job.spec
         val ran = a.runningSince?.let { (now - it).seconds } ?: 0.0
         return if (spec.checkpointS > 0) minOf(ran, spec.saveS + 1.0) else ran
--- a/src/main/kotlin/dewwing/control/core/quota/Quota.kt
+++ b/src/main/kotlin/dewwing/control/core/quota/Quota.kt
@@ -8,7 +8,9 @@
 import dewwing.protocol.Team
 
 /** Team limits and guarantees. Every attempt counts from when its log record is begun until it is proven gone. */
-class Quota(teams: List<Team>) {
+class Quota(
+    teams: List<Team>,
+) {
     private val teams = teams.associateBy { it.name }
     private val used = HashMap<String, Resources>()
 
@@ -58,7 +60,10 @@
         return maxOf(0, n)
     }
 
-    private fun fits(team: Team, amount: Resources): Boolean =
+    private fun fits(
+        team: Team,
+        amount: Resources,
+    ): Boolean =
         (team.coresMax == null || amount.cores <= team.coresMax + Resources.EPSILON) &&
             (team.acceleratorsMax == null || amount.accelerators <= team.acceleratorsMax + Resources.EPSILON)
 
--- a/src/main/kotlin/dewwing/control/http/Connections.kt
+++ b/src/main/kotlin/dewwing/control/http/Connections.kt
@@ -13,7 +13,9 @@
 import java.io.IOException
 
 /** No answer: the request may or may not have been carried out, now or later. */
-class NoAnswerException(message: String) : IOException(message)
+class NoAnswerException(
+    message: String,
+) : IOException(message)
 
 /** One open connection. */
 class Connection internal constructor(
@@ -28,18 +30,27 @@
  * An exchange that ends without an answer closes its connection, so that a late answer is never taken for the next
  * one's.
  */
-class Connections(private val selector: SelectorManager, private val endpoint: Endpoint, private val maxIdle: Int) {
+class Connections(
+    private val selector: SelectorManager,
+    private val endpoint: Endpoint,
+    private val maxIdle: Int,
+) {
     private val idle = ArrayDeque<Connection>()
 
-    suspend fun <T : Any> exchange(what: String, timeoutMs: Long, block: suspend (Connection) -> T): T {
+    suspend fun <T : Any> exchange(
+        what: String,
+        timeoutMs: Long,
+        block: suspend (Connection) -> T,
+    ): T {
         var used: Connection? = null
         var done = false
         try {
-            val result = withTimeoutOrNull(timeoutMs) {
-                val c = idle.removeLastOrNull() ?: open()
-                used = c
-                block(c)
-            } ?: throw NoAnswerException("$what: no answer from $endpoint in $timeoutMs ms")
+            val result =
+                withTimeoutOrNull(timeoutMs) {
+                    val c = idle.removeLastOrNull() ?: open()
+                    used = c
+                    block(c)
+                } ?: throw NoAnswerException("$what: no answer from $endpoint in $timeoutMs ms")
             done = true
             return result
         } catch (e: IllegalStateException) {
--- a/src/main/kotlin/dewwing/control/http/HttpClient.kt
+++ b/src/main/kotlin/dewwing/control/http/HttpClient.kt
@@ -11,7 +11,11 @@
 import kotlinx.io.readByteArray
 
 /** What came back, whatever the status. */
-class HttpResult(val status: Int, val body: ByteArray, val retryAfterS: Int?)
+class HttpResult(
+    val status: Int,
+    val body: ByteArray,
+    val retryAfterS: Int?,
+)
 
 /** HTTP/1.1 client for one address, keeping connections open between calls and never pipelining. */
 class HttpClient(
@@ -22,17 +26,34 @@
 ) {
     private val connections = Connections(selector, endpoint, maxIdle)
 
-    suspend fun call(method: String, target: String, body: ByteArray?, timeoutMs: Long): HttpResult = try {
-        connections.exchange("$method $target", timeoutMs) { exchange(it, method, target, body) }
-    } catch (e: ParserException) {
-        throw NoAnswerException("$method $target: ${e.message}")
-    }
+    suspend fun call(
+        method: String,
+        target: String,
+        body: ByteArray?,
+        timeoutMs: Long,
+    ): HttpResult =
+        try {
+            connections.exchange("$method $target", timeoutMs) { exchange(it, method, target, body) }
+        } catch (e: ParserException) {
+            throw NoAnswerException("$method $target: ${e.message}")
+        }
 
     fun forgetConnections() = connections.forget()
 
-    private suspend fun exchange(c: Connection, method: String, target: String, body: ByteArray?): HttpResult {
-        val head = StringBuilder(128)
-            .append(method).append(' ').append(target).append(" HTTP/1.1\r\nHost: ").append(endpoint).append("\r\n")
+    private suspend fun exchange(
+        c: Connection,
+        method: String,
+        target: String,
+        body: ByteArray?,
+    ): HttpResult {
+        val head =
+            StringBuilder(128)
+                .append(method)
+                .append(' ')
+                .append(target)
+                .append(" HTTP/1.1\r\nHost: ")
+                .append(endpoint)
+                .append("\r\n")
         if (body != null) {
             head.append("Content-Type: ").append(HttpAnswer.MSGPACK).append("\r\n")
             head.append("Content-Length: ").append(body.size).append("\r\n")
@@ -42,17 +63,29 @@
         c.output.flush()
         val response = parseResponse(c.input) ?: throw NoAnswerException("$method $target: connection closed")
         try {
-            val length = response.headers["Content-Length"]?.toString()?.trim()?.toIntOrNull()
+            val length =
+                response.headers["Content-Length"]
+                    ?.toString()
+                    ?.trim()
+                    ?.toIntOrNull()
             val close = response.headers["Connection"]?.toString()?.equals("close", ignoreCase = true) == true
             if (length != null && length > maxResponse) throw NoAnswerException("$method $target: answer too large")
-            val bytes = when {
-                length != null -> ByteArray(length).also { if (length > 0) c.input.readFully(it) }
-                response.headers["Transfer-Encoding"] != null -> readChunked(c.input)
-                response.status == 204 -> EMPTY
-                else -> c.input.readRemaining().readByteArray()
-            }
+            val bytes =
+                when {
+                    length != null -> ByteArray(length).also { if (length > 0) c.input.readFully(it) }
+                    response.headers["Transfer-Encoding"] != null -> readChunked(c.input)
+                    response.status == 204 -> EMPTY
+                    else -> c.input.readRemaining().readByteArray()
+                }
             if (close) c.socket.close()
-            return HttpResult(response.status, bytes, response.headers["Retry-After"]?.toString()?.trim()?.toIntOrNull())
+            return HttpResult(
+                response.status,
+                bytes,
+                response.headers["Retry-After"]
+                    ?.toString()
+                    ?.trim()
+                    ?.toIntOrNull(),
+            )
         } finally {
             response.release()
         }
--- a/src/main/kotlin/dewwing/control/http/HttpServer.kt
+++ b/src/main/kotlin/dewwing/control/http/HttpServer.kt
@@ -25,7 +25,12 @@
 import java.io.IOException
 
 /** A request whose body has been read whole. */
-class HttpRequest(val method: String, val path: String, val query: String, val body: ByteArray)
+class HttpRequest(
+    val method: String,
+    val path: String,
+    val query: String,
+    val body: ByteArray,
+)
 
 /** An answer; [retryAfterS] tells the caller when to come back. */
 class HttpAnswer(
@@ -37,9 +42,17 @@
 ) {
     companion object {
         const val MSGPACK = "application/msgpack"
-        fun of(status: Int, value: Any?): HttpAnswer = HttpAnswer(status, Pack.encode(value))
-        fun error(status: Int, message: String, retryAfterS: Int? = null): HttpAnswer =
-            HttpAnswer(status, Pack.encode(mapOf("error" to message)), retryAfterS)
+
+        fun of(
+            status: Int,
+            value: Any?,
+        ): HttpAnswer = HttpAnswer(status, Pack.encode(value))
+
+        fun error(
+            status: Int,
+            message: String,
+            retryAfterS: Int? = null,
+        ): HttpAnswer = HttpAnswer(status, Pack.encode(mapOf("error" to message)), retryAfterS)
     }
 }
 
@@ -68,35 +81,37 @@
     private val log = LoggerFactory.getLogger("http")
     private var open = 0
 
-    suspend fun run(): Unit = coroutineScope {
-        val server = bind()
-        onBound()
-        server.use {
-            while (isActive) {
-                val socket = try {
-                    server.accept()
-                } catch (e: IOException) {
-                    log.warn("accept failed: {}", e.message)
-                    delay(ACCEPT_PAUSE_MS)
-                    continue
-                }
-                // Refusing at once beats an accepted connection that nobody serves: the balancer moves on.
-                if (open >= limits.connections) {
-                    socket.close()
-                    continue
-                }
-                open++
-                launch {
-                    try {
-                        serve(socket)
-                    } finally {
-                        open--
+    suspend fun run(): Unit =
+        coroutineScope {
+            val server = bind()
+            onBound()
+            server.use {
+                while (isActive) {
+                    val socket =
+                        try {
+                            server.accept()
+                        } catch (e: IOException) {
+                            log.warn("accept failed: {}", e.message)
+                            delay(ACCEPT_PAUSE_MS)
+                            continue
+                        }
+                    // Refusing at once beats an accepted connection that nobody serves: the balancer moves on.
+                    if (open >= limits.connections) {
                         socket.close()
+                        continue
+                    }
+                    open++
+                    launch {
+                        try {
+                            serve(socket)
+                        } finally {
+                            open--
+                            socket.close()
+                        }
                     }
                 }
             }
         }
-    }
 
     /** The old process's sockets may linger when a restart comes at once. */
     private suspend fun bind(): ServerSocket {
@@ -131,7 +146,11 @@
     }
 
     /** One request and its answer; false when the connection must close. */
-    private suspend fun exchange(input: ByteReadChannel, output: ByteWriteChannel, silenceMs: Long): Boolean {
+    private suspend fun exchange(
+        input: ByteReadChannel,
+        output: ByteWriteChannel,
+        silenceMs: Long,
+    ): Boolean {
         val begun = withTimeoutOrNull(silenceMs) { input.awaitContent(1) } ?: return false
         if (!begun) return false
         val head = withTimeoutOrNull(limits.requestMs) { parseRequest(input) } ?: return false
@@ -142,7 +161,11 @@
         }
     }
 
-    private suspend fun answer(head: Request, input: ByteReadChannel, output: ByteWriteChannel): Boolean {
+    private suspend fun answer(
+        head: Request,
+        input: ByteReadChannel,
+        output: ByteWriteChannel,
+    ): Boolean {
         val uri = head.uri.toString()
         val mark = uri.indexOf('?')
         val path = if (mark < 0) uri else uri.substring(0, mark)
@@ -152,12 +175,13 @@
         val chunked = head.headers["Transfer-Encoding"] != null
         val length = lengthText?.trim()?.toLongOrNull() ?: if (lengthText == null) 0L else -1L
         // A body we will not read ends the connection, since the next request could not be found in the stream.
-        val refusal = when {
-            chunked -> HttpAnswer.error(411, "send Content-Length")
-            length < 0 -> HttpAnswer.error(400, "bad Content-Length")
-            length > limits.maxBody -> HttpAnswer.error(413, "body over ${limits.maxBody} bytes")
-            else -> null
-        }
+        val refusal =
+            when {
+                chunked -> HttpAnswer.error(411, "send Content-Length")
+                length < 0 -> HttpAnswer.error(400, "bad Content-Length")
+                length > limits.maxBody -> HttpAnswer.error(413, "body over ${limits.maxBody} bytes")
+                else -> null
+            }
         if (refusal != null) {
             write(output, refusal, close = true)
             return false
@@ -171,26 +195,40 @@
         if (body.isNotEmpty()) {
             withTimeoutOrNull(limits.requestMs) { input.readFully(body) } ?: return false
         }
-        val answer = try {
-            handler(HttpRequest(method, path, query, body))
-        } catch (e: IOException) {
-            log.warn("{} {} failed: {}", method, path, e.message)
-            HttpAnswer.error(503, "try again", 1)
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: RuntimeException) {
-            // A fault in answering one request must not end the process, which serves all the others.
-            log.error("{} {} failed", method, path, e)
-            HttpAnswer.error(503, "try again", 1)
-        }
+        val answer =
+            try {
+                handler(HttpRequest(method, path, query, body))
+            } catch (e: IOException) {
+                log.warn("{} {} failed: {}", method, path, e.message)
+                HttpAnswer.error(503, "try again", 1)
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: RuntimeException) {
+                // A fault in answering one request must not end the process, which serves all the others.
+                log.error("{} {} failed", method, path, e)
+                HttpAnswer.error(503, "try again", 1)
+            }
         return write(output, answer, close) && !close
     }
 
-    private suspend fun write(output: ByteWriteChannel, answer: HttpAnswer, close: Boolean): Boolean {
-        val head = StringBuilder(160)
-            .append("HTTP/1.1 ").append(answer.status).append(' ').append(reason(answer.status)).append("\r\n")
-            .append("Content-Type: ").append(answer.contentType).append("\r\n")
-            .append("Content-Length: ").append(answer.body.size).append("\r\n")
+    private suspend fun write(
+        output: ByteWriteChannel,
+        answer: HttpAnswer,
+        close: Boolean,
+    ): Boolean {
+        val head =
+            StringBuilder(160)
+                .append("HTTP/1.1 ")
+                .append(answer.status)
+                .append(' ')
+                .append(reason(answer.status))
+                .append("\r\n")
+                .append("Content-Type: ")
+                .append(answer.contentType)
+                .append("\r\n")
+                .append("Content-Length: ")
+                .append(answer.body.size)
+                .append("\r\n")
         answer.retryAfterS?.let { head.append("Retry-After: ").append(it).append("\r\n") }
         answer.allow?.let { head.append("Allow: ").append(it).append("\r\n") }
         if (close) head.append("Connection: close\r\n")
@@ -210,26 +248,30 @@
         private val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".toByteArray()
 
         /** One write, one packet: head and body are sent together. */
-        internal fun joined(head: CharSequence, body: ByteArray): ByteArray {
+        internal fun joined(
+            head: CharSequence,
+            body: ByteArray,
+        ): ByteArray {
             val out = ByteArray(head.length + body.size)
             for (i in head.indices) out[i] = head[i].code.toByte()
             body.copyInto(out, head.length)
             return out
         }
 
-        private fun reason(status: Int): String = when (status) {
-            200 -> "OK"
-            201 -> "Created"
-            400 -> "Bad Request"
-            404 -> "Not Found"
-            405 -> "Method Not Allowed"
-            411 -> "Length Required"
-            413 -> "Content Too Large"
-            421 -> "Misdirected Request"
-            422 -> "Unprocessable Content"
-            429 -> "Too Many Requests"
-            503 -> "Service Unavailable"
-            else -> "Status"
-        }
+        private fun reason(status: Int): String =
+            when (status) {
+                200 -> "OK"
+                201 -> "Created"
+                400 -> "Bad Request"
+                404 -> "Not Found"
+                405 -> "Method Not Allowed"
+                411 -> "Length Required"
+                413 -> "Content Too Large"
+                421 -> "Misdirected Request"
+                422 -> "Unprocessable Content"
+                429 -> "Too Many Requests"
+                503 -> "Service Unavailable"
+                else -> "Status"
+            }
     }
 }
--- a/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
+++ b/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
@@ -15,13 +15,23 @@
      * "How are you, and this is how I am." A leader that has its picture names the revision up to which it has read all
      * jobs; it is to be told of the cancellations after that.
      */
-    data class Word(val from: String, val word: PeerWord, val jobsKnown: Revision?) : PeerRequest
+    data class Word(
+        val from: String,
+        val word: PeerWord,
+        val jobsKnown: Revision?,
+    ) : PeerRequest
 
     /** Display counts of a job; only the leader knows them. */
-    data class Counts(val ref: String) : PeerRequest
+    data class Counts(
+        val ref: String,
+    ) : PeerRequest
 
     /** A user's request that this controller cannot serve, since the state service refuses it alone. */
-    class Relay(val method: String, val path: String, val body: ByteArray) : PeerRequest
+    class Relay(
+        val method: String,
+        val path: String,
+        val body: ByteArray,
+    ) : PeerRequest
 }
 
 /**
@@ -38,9 +48,22 @@
 
 sealed interface PeerAnswer {
     /** [cancellations] is null when not asked for, or when not all of them are known any more. */
-    data class Word(val word: PeerWord, val cancellations: List<Cancellation>?) : PeerAnswer
-    data class Counts(val known: Boolean, val running: Int, val done: Int) : PeerAnswer
-    class Relay(val status: Int, val retryAfterS: Int, val body: ByteArray) : PeerAnswer
+    data class Word(
+        val word: PeerWord,
+        val cancellations: List<Cancellation>?,
+    ) : PeerAnswer
+
+    data class Counts(
+        val known: Boolean,
+        val running: Int,
+        val done: Int,
+    ) : PeerAnswer
+
+    class Relay(
+        val status: Int,
+        val retryAfterS: Int,
+        val body: ByteArray,
+    ) : PeerAnswer
 }
 
 /** The frames between controllers: a length, then a tag and its fields, all in Okio buffers. */
@@ -60,10 +83,12 @@
                 b.word(request.word)
                 b.writeLong(request.jobsKnown?.value ?: NONE)
             }
+
             is PeerRequest.Counts -> {
                 b.writeByte(COUNTS)
                 b.text(request.ref)
             }
+
             is PeerRequest.Relay -> {
                 b.writeByte(RELAY)
                 b.text(request.method)
@@ -82,12 +107,14 @@
                 b.word(answer.word)
                 b.cancellations(answer.cancellations)
             }
+
             is PeerAnswer.Counts -> {
                 b.writeByte(COUNTS)
                 b.writeByte(if (answer.known) 1 else 0)
                 b.writeInt(answer.running)
                 b.writeInt(answer.done)
             }
+
             is PeerAnswer.Relay -> {
                 b.writeByte(RELAY)
                 b.writeInt(answer.status)
@@ -98,25 +125,30 @@
         return b
     }
 
-    fun decodeRequest(b: Buffer): PeerRequest = checked(b) {
-        when (val tag = b.readByte().toInt()) {
-            WORD -> PeerRequest.Word(b.text(), b.word(), b.readLong().takeIf { it >= 0 }?.let(::Revision))
-            COUNTS -> PeerRequest.Counts(b.text())
-            RELAY -> PeerRequest.Relay(b.text(), b.text(), b.bytes())
-            else -> throw IOException("unknown peer request $tag")
+    fun decodeRequest(b: Buffer): PeerRequest =
+        checked(b) {
+            when (val tag = b.readByte().toInt()) {
+                WORD -> PeerRequest.Word(b.text(), b.word(), b.readLong().takeIf { it >= 0 }?.let(::Revision))
+                COUNTS -> PeerRequest.Counts(b.text())
+                RELAY -> PeerRequest.Relay(b.text(), b.text(), b.bytes())
+                else -> throw IOException("unknown peer request $tag")
+            }
         }
-    }
 
-    fun decodeAnswer(b: Buffer): PeerAnswer = checked(b) {
-        when (val tag = b.readByte().toInt()) {
-            WORD -> PeerAnswer.Word(b.word(), b.cancellations())
-            COUNTS -> PeerAnswer.Counts(b.readByte().toInt() != 0, b.readInt(), b.readInt())
-            RELAY -> PeerAnswer.Relay(b.readInt(), b.readInt(), b.bytes())
-            else -> throw IOException("unknown peer answer $tag")
+    fun decodeAnswer(b: Buffer): PeerAnswer =
+        checked(b) {
+            when (val tag = b.readByte().toInt()) {
+                WORD -> PeerAnswer.Word(b.word(), b.cancellations())
+                COUNTS -> PeerAnswer.Counts(b.readByte().toInt() != 0, b.readInt(), b.readInt())
+                RELAY -> PeerAnswer.Relay(b.readInt(), b.readInt(), b.bytes())
+                else -> throw IOException("unknown peer answer $tag")
+            }
         }
-    }
 
-    private inline fun <T> checked(b: Buffer, read: () -> T): T {
+    private inline fun <T> checked(
+        b: Buffer,
+        read: () -> T,
+    ): T {
         try {
             val value = read()
             if (!b.exhausted()) throw IOException("bytes after a peer message")
@@ -153,6 +185,7 @@
     }
 
     private fun Buffer.text(s: String) = bytes(s.toByteArray())
+
     private fun Buffer.text(): String = bytes().decodeToString()
 
     private fun Buffer.bytes(value: ByteArray) {
--- a/src/main/kotlin/dewwing/control/peer/Peers.kt
+++ b/src/main/kotlin/dewwing/control/peer/Peers.kt
@@ -37,10 +37,16 @@
 }
 
 /** Asks one sibling; one question at a time on a connection, kept for the next. */
-class PeerClient(selector: SelectorManager, endpoint: Endpoint) {
+class PeerClient(
+    selector: SelectorManager,
+    endpoint: Endpoint,
+) {
     private val connections = Connections(selector, endpoint, MAX_IDLE)
 
-    suspend fun ask(request: PeerRequest, timeoutMs: Long): PeerAnswer =
+    suspend fun ask(
+        request: PeerRequest,
+        timeoutMs: Long,
+    ): PeerAnswer =
         connections.exchange("sibling", timeoutMs) { c ->
             c.output.frame(PeerCodec.encode(request))
             PeerCodec.decodeAnswer(c.input.frame())
@@ -60,41 +66,44 @@
     private val log = LoggerFactory.getLogger("peer")
     private var open = 0
 
-    suspend fun run(): Unit = coroutineScope {
-        while (true) {
-            val server = try {
-                aSocket(selector).tcp().bind(endpoint.host, endpoint.port) { reuseAddress = true }
-            } catch (e: IOException) {
-                log.warn("cannot listen on {}: {}", endpoint, e.message)
-                delay(RETRY_MS)
-                continue
-            }
-            server.use {
-                while (true) {
-                    val socket = try {
-                        it.accept()
+    suspend fun run(): Unit =
+        coroutineScope {
+            while (true) {
+                val server =
+                    try {
+                        aSocket(selector).tcp().bind(endpoint.host, endpoint.port) { reuseAddress = true }
                     } catch (e: IOException) {
-                        log.warn("accept failed: {}", e.message)
+                        log.warn("cannot listen on {}: {}", endpoint, e.message)
                         delay(RETRY_MS)
                         continue
                     }
-                    if (open >= MAX_OPEN) {
-                        socket.close()
-                        continue
-                    }
-                    open++
-                    launch {
-                        try {
-                            serve(socket)
-                        } finally {
-                            open--
+                server.use {
+                    while (true) {
+                        val socket =
+                            try {
+                                it.accept()
+                            } catch (e: IOException) {
+                                log.warn("accept failed: {}", e.message)
+                                delay(RETRY_MS)
+                                continue
+                            }
+                        if (open >= MAX_OPEN) {
                             socket.close()
+                            continue
+                        }
+                        open++
+                        launch {
+                            try {
+                                serve(socket)
+                            } finally {
+                                open--
+                                socket.close()
+                            }
                         }
                     }
                 }
             }
         }
-    }
 
     private suspend fun serve(socket: Socket) {
         try {
--- a/src/main/kotlin/dewwing/control/state/StateClient.kt
+++ b/src/main/kotlin/dewwing/control/state/StateClient.kt
@@ -16,12 +16,20 @@
 import java.net.URLEncoder
 
 /** The state service did not carry the request out, or nobody knows whether it did. */
-class StateUnavailableException(message: String, val certainlyNot: Boolean) : IOException(message)
+class StateUnavailableException(
+    message: String,
+    val certainlyNot: Boolean,
+) : IOException(message)
 
 /** What became of a conditional change. */
 sealed interface CommitResult {
-    data class Applied(val revision: Revision) : CommitResult
-    data class Conflict(val failed: List<String>) : CommitResult
+    data class Applied(
+        val revision: Revision,
+    ) : CommitResult
+
+    data class Conflict(
+        val failed: List<String>,
+    ) : CommitResult
 
     /** The lease named by a put has ended. */
     data object HoldEnded : CommitResult
@@ -29,7 +37,10 @@
 
 /** A long poll's outcome. */
 sealed interface FollowResult {
-    data class Changes(val entries: List<Wire.Entry>, val revision: Revision) : FollowResult
+    data class Changes(
+        val entries: List<Wire.Entry>,
+        val revision: Revision,
+    ) : FollowResult
 
     /** The service no longer has these changes: read the keys again. */
     data object TooOld : FollowResult
@@ -65,7 +76,11 @@
     }
 
     /** Every key with [prefix]; also a revision no newer than what was read, to follow on from. */
-    suspend fun list(prefix: String, timeoutMs: Long = LIST_MS, onPage: (List<Wire.Entry>) -> Unit): Revision {
+    suspend fun list(
+        prefix: String,
+        timeoutMs: Long = LIST_MS,
+        onPage: (List<Wire.Entry>) -> Unit,
+    ): Revision {
         var after: String? = null
         var first: Revision? = null
         while (true) {
@@ -80,12 +95,17 @@
         }
     }
 
-    suspend fun commit(change: StateChange, hold: HoldId? = null, holdKey: String? = null): CommitResult {
-        val body = Wire.commitBody(
-            change.conditions,
-            change.puts.map { (key, value) -> Triple(key, value, hold.takeIf { key == holdKey }) },
-            change.removes,
-        )
+    suspend fun commit(
+        change: StateChange,
+        hold: HoldId? = null,
+        holdKey: String? = null,
+    ): CommitResult {
+        val body =
+            Wire.commitBody(
+                change.conditions,
+                change.puts.map { (key, value) -> Triple(key, value, hold.takeIf { key == holdKey }) },
+                change.removes,
+            )
         val result = call("commit", "POST", Wire.COMMIT, Pack.encode(body), WRITE_MS)
         return when (result.status) {
             200 -> CommitResult.Applied(decoded("commit") { Wire.tide(Pack.decodeMap(result.body)) })
@@ -102,7 +122,10 @@
     }
 
     /** False when the hold has ended. */
-    suspend fun renewHold(hold: HoldId, timeoutMs: Long): Boolean {
+    suspend fun renewHold(
+        hold: HoldId,
+        timeoutMs: Long,
+    ): Boolean {
         val result = call("renew", "POST", "${Wire.HOLDS}/${hold.value}/renew", EMPTY_MAP, timeoutMs)
         return when (result.status) {
             200 -> true
@@ -115,21 +138,32 @@
         call("drop", "DELETE", "${Wire.HOLDS}/${hold.value}", null, HOLD_MS)
     }
 
-    suspend fun follow(prefix: String, since: Revision, hold: Span): FollowResult {
+    suspend fun follow(
+        prefix: String,
+        since: Revision,
+        hold: Span,
+    ): FollowResult {
         requests.take()
         val target = "${Wire.FOLLOW}?under=${escape(prefix)}&since=${since.value}&holdMs=${hold.ms}"
-        val result = try {
-            watches.call("GET", target, null, hold.ms + WATCH_GRACE_MS)
-        } catch (e: IOException) {
-            onOutcome("follow", "silent")
-            throw e
-        }
+        val result =
+            try {
+                watches.call("GET", target, null, hold.ms + WATCH_GRACE_MS)
+            } catch (e: IOException) {
+                onOutcome("follow", "silent")
+                throw e
+            }
         return when (result.status) {
-            200 -> decoded("follow") {
-                val (entries, revision) = Wire.followed(Pack.decodeMap(result.body))
-                FollowResult.Changes(entries, revision)
+            200 -> {
+                decoded("follow") {
+                    val (entries, revision) = Wire.followed(Pack.decodeMap(result.body))
+                    FollowResult.Changes(entries, revision)
+                }
             }
-            410 -> FollowResult.TooOld
+
+            410 -> {
+                FollowResult.TooOld
+            }
+
             else -> {
                 onOutcome("follow", result.status.toString())
                 throw unavailable("follow", result)
@@ -137,16 +171,23 @@
         }
     }
 
-    private suspend fun call(name: String, method: String, target: String, body: ByteArray?, ms: Long): HttpResult {
+    private suspend fun call(
+        name: String,
+        method: String,
+        target: String,
+        body: ByteArray?,
+        ms: Long,
+    ): HttpResult {
         requests.take()
-        val result = try {
-            http.call(method, target, body, ms)
-        } catch (e: IOException) {
-            failed()
-            onOutcome(name, "silent")
-            http.forgetConnections()
-            throw StateUnavailableException(e.message ?: "no answer", certainlyNot = false)
-        }
+        val result =
+            try {
+                http.call(method, target, body, ms)
+            } catch (e: IOException) {
+                failed()
+                onOutcome(name, "silent")
+                http.forgetConnections()
+                throw StateUnavailableException(e.message ?: "no answer", certainlyNot = false)
+            }
         onOutcome(name, result.status.toString())
         if (result.status == 503) {
             failed()
@@ -162,16 +203,23 @@
         failing = true
     }
 
-    private fun unavailable(name: String, result: HttpResult): StateUnavailableException {
+    private fun unavailable(
+        name: String,
+        result: HttpResult,
+    ): StateUnavailableException {
         val not = result.status == 503 || result.status == 429 || result.status == 400
         return StateUnavailableException("$name: state service answered ${result.status}", certainlyNot = not)
     }
 
-    private inline fun <T> decoded(name: String, block: () -> T): T = try {
-        block()
-    } catch (e: MalformedException) {
-        throw StateUnavailableException("$name: ${e.message}", certainlyNot = false)
-    }
+    private inline fun <T> decoded(
+        name: String,
+        block: () -> T,
+    ): T =
+        try {
+            block()
+        } catch (e: MalformedException) {
+            throw StateUnavailableException("$name: ${e.message}", certainlyNot = false)
+        }
 
     private suspend fun TokenBucket.take() {
         while (true) {
--- a/src/main/kotlin/dewwing/control/worker/WorkerClient.kt
+++ b/src/main/kotlin/dewwing/control/worker/WorkerClient.kt
@@ -12,11 +12,19 @@
 import java.io.IOException
 
 /** Sends commands straight to a worker. Only kills go this way: a late launch could restart a reaped attempt. */
-class WorkerClient(private val selector: SelectorManager, private val onOutcome: (String, String) -> Unit) {
+class WorkerClient(
+    private val selector: SelectorManager,
+    private val onOutcome: (String, String) -> Unit,
+) {
     private val slots = Semaphore(MAX_OPEN)
     private var asked = 0
 
-    suspend fun kill(endpoint: Endpoint, term: Term, session: Long, kills: List<Command.Kill>) {
+    suspend fun kill(
+        endpoint: Endpoint,
+        term: Term,
+        session: Long,
+        kills: List<Command.Kill>,
+    ) {
         // A wave of machines that do not answer must take neither sockets nor memory without end.
         if (asked >= MAX_ASKED) {
             onOutcome("do", "dropped")
@@ -30,7 +38,12 @@
         }
     }
 
-    private suspend fun send(endpoint: Endpoint, term: Term, session: Long, kills: List<Command.Kill>) {
+    private suspend fun send(
+        endpoint: Endpoint,
+        term: Term,
+        session: Long,
+        kills: List<Command.Kill>,
+    ) {
         val client = HttpClient(selector, endpoint, maxIdle = 0)
         try {
             val body = Pack.encode(Wire.doBody(term, session, kills))
--- a/src/main/kotlin/dewwing/protocol/Model.kt
+++ b/src/main/kotlin/dewwing/protocol/Model.kt
@@ -13,18 +13,19 @@
 enum class JobStage { QUEUED, RUNNING, DONE, ABORTED }
 
 /** What a task, or a machine, holds or offers. */
-data class Resources(val cores: Double, val accelerators: Double, val memoryGb: Double) {
-    operator fun plus(o: Resources) =
-        Resources(cores + o.cores, accelerators + o.accelerators, memoryGb + o.memoryGb)
+data class Resources(
+    val cores: Double,
+    val accelerators: Double,
+    val memoryGb: Double,
+) {
+    operator fun plus(o: Resources) = Resources(cores + o.cores, accelerators + o.accelerators, memoryGb + o.memoryGb)
 
-    operator fun minus(o: Resources) =
-        Resources(cores - o.cores, accelerators - o.accelerators, memoryGb - o.memoryGb)
+    operator fun minus(o: Resources) = Resources(cores - o.cores, accelerators - o.accelerators, memoryGb - o.memoryGb)
 
     operator fun times(n: Int) = Resources(cores * n, accelerators * n, memoryGb * n)
 
     /** The smaller of each. */
-    fun least(o: Resources) =
-        Resources(minOf(cores, o.cores), minOf(accelerators, o.accelerators), minOf(memoryGb, o.memoryGb))
+    fun least(o: Resources) = Resources(minOf(cores, o.cores), minOf(accelerators, o.accelerators), minOf(memoryGb, o.memoryGb))
 
     /** How many of [task] fit in here together. */
     fun slots(task: Resources): Int {
@@ -88,7 +89,10 @@
 enum class EndCause { DONE, STOPPED, PEERS, INCOMPLETE, ERROR, NO_ROOM, IN_USE, UNKNOWN_JOB, OTHER }
 
 /** One task of one job. */
-data class TaskRef(val job: JobRef, val index: Int) {
+data class TaskRef(
+    val job: JobRef,
+    val index: Int,
+) {
     override fun toString(): String = "${job.value}/$index"
 
     companion object {
@@ -128,9 +132,21 @@
     val task: TaskRef
     val attempt: Step
 
-    data class Launch(override val task: TaskRef, override val attempt: Step) : Command
-    data class Kill(override val task: TaskRef, override val attempt: Step, val graceS: Double) : Command
-    data class Reap(override val task: TaskRef, override val attempt: Step) : Command
+    data class Launch(
+        override val task: TaskRef,
+        override val attempt: Step,
+    ) : Command
+
+    data class Kill(
+        override val task: TaskRef,
+        override val attempt: Step,
+        val graceS: Double,
+    ) : Command
+
+    data class Reap(
+        override val task: TaskRef,
+        override val attempt: Step,
+    ) : Command
 }
 
 /** Stage in the cloud's list of machines. */
--- a/src/main/kotlin/dewwing/protocol/Pack.kt
+++ b/src/main/kotlin/dewwing/protocol/Pack.kt
@@ -9,7 +9,9 @@
 import java.math.BigInteger
 
 /** The body is no MessagePack of the kind the protocols use, or a field of it is missing or wrong. */
-class MalformedException(message: String) : Exception(message)
+class MalformedException(
+    message: String,
+) : Exception(message)
 
 /** MessagePack to and from plain Kotlin values: String-keyed maps, lists, text, Long, Double, Boolean and null. */
 object Pack {
@@ -22,14 +24,35 @@
         return packer.toByteArray()
     }
 
-    private fun write(packer: MessagePacker, value: Any?) {
+    private fun write(
+        packer: MessagePacker,
+        value: Any?,
+    ) {
         when (value) {
-            null -> packer.packNil()
-            is String -> packer.packString(value)
-            is Boolean -> packer.packBoolean(value)
-            is Int -> packer.packInt(value)
-            is Long -> packer.packLong(value)
-            is Double -> packer.packDouble(value)
+            null -> {
+                packer.packNil()
+            }
+
+            is String -> {
+                packer.packString(value)
+            }
+
+            is Boolean -> {
+                packer.packBoolean(value)
+            }
+
+            is Int -> {
+                packer.packInt(value)
+            }
+
+            is Long -> {
+                packer.packLong(value)
+            }
+
+            is Double -> {
+                packer.packDouble(value)
+            }
+
             is Map<*, *> -> {
                 packer.packMapHeader(value.size)
                 for ((k, v) in value) {
@@ -37,11 +60,15 @@
                     write(packer, v)
                 }
             }
+
             is Collection<*> -> {
                 packer.packArrayHeader(value.size)
                 for (v in value) write(packer, v)
             }
-            else -> throw IllegalArgumentException("no wire form for ${value::class.simpleName}")
+
+            else -> {
+                throw IllegalArgumentException("no wire form for ${value::class.simpleName}")
+            }
         }
     }
 
@@ -65,18 +92,35 @@
         return Fields(value)
     }
 
-    private fun read(unpacker: MessageUnpacker, depth: Int, size: Int): Any? {
+    private fun read(
+        unpacker: MessageUnpacker,
+        depth: Int,
+        size: Int,
+    ): Any? {
         if (depth > MAX_DEPTH) throw MalformedException("nested too deep")
         return when (unpacker.nextFormat.valueType) {
             ValueType.NIL -> {
                 unpacker.unpackNil()
                 null
             }
-            ValueType.BOOLEAN -> unpacker.unpackBoolean()
+
+            ValueType.BOOLEAN -> {
+                unpacker.unpackBoolean()
+            }
+
             // Counts may reach 2^64; nothing we compare comes near, so what does not fit is the largest we know.
-            ValueType.INTEGER -> unpacker.unpackBigIntegerOrLong()
-            ValueType.FLOAT -> unpacker.unpackDouble()
-            ValueType.STRING -> unpacker.unpackString()
+            ValueType.INTEGER -> {
+                unpacker.unpackBigIntegerOrLong()
+            }
+
+            ValueType.FLOAT -> {
+                unpacker.unpackDouble()
+            }
+
+            ValueType.STRING -> {
+                unpacker.unpackString()
+            }
+
             ValueType.ARRAY -> {
                 val count = unpacker.unpackArrayHeader()
                 // A header may claim more than the body holds; believing it would let 5 bytes reserve gigabytes.
@@ -85,6 +129,7 @@
                 repeat(count) { list.add(read(unpacker, depth + 1, size)) }
                 list
             }
+
             ValueType.MAP -> {
                 val count = unpacker.unpackMapHeader()
                 if (count > size) throw MalformedException("map longer than the body")
@@ -96,7 +141,10 @@
                 }
                 map
             }
-            else -> throw MalformedException("binary or extension data")
+
+            else -> {
+                throw MalformedException("binary or extension data")
+            }
         }
     }
 
@@ -108,20 +156,23 @@
     }
 
     /** Length of [value] written as JSON, the form in which the protocol counts its size limits. */
-    fun jsonSize(value: Any?): Int = when (value) {
-        null -> 4
-        is String -> value.toByteArray().size + value.count { it < ' ' || it == '"' || it == '\\' } * 5 + 2
-        is Boolean -> 5
-        is Int, is Long -> value.toString().length
-        is Double -> value.toString().length
-        is Map<*, *> -> 2 + value.entries.sumOf { jsonSize(it.key) + jsonSize(it.value) + 2 }
-        is Collection<*> -> 2 + value.sumOf { jsonSize(it) + 1 }
-        else -> throw IllegalArgumentException("no wire form for ${value::class.simpleName}")
-    }
+    fun jsonSize(value: Any?): Int =
+        when (value) {
+            null -> 4
+            is String -> value.toByteArray().size + value.count { it < ' ' || it == '"' || it == '\\' } * 5 + 2
+            is Boolean -> 5
+            is Int, is Long -> value.toString().length
+            is Double -> value.toString().length
+            is Map<*, *> -> 2 + value.entries.sumOf { jsonSize(it.key) + jsonSize(it.value) + 2 }
+            is Collection<*> -> 2 + value.sumOf { jsonSize(it) + 1 }
+            else -> throw IllegalArgumentException("no wire form for ${value::class.simpleName}")
+        }
 }
 
 /** Checked access to a decoded map; every failure names its field. */
-class Fields(private val map: Map<*, *>) {
+class Fields(
+    private val map: Map<*, *>,
+) {
     val raw: Map<*, *> get() = map
 
     fun text(name: String): String = map[name] as? String ?: wrong(name, "text")
@@ -136,14 +187,18 @@
         return value
     }
 
-    fun countOr(name: String, default: Long): Long = if (map[name] == null) default else count(name)
+    fun countOr(
+        name: String,
+        default: Long,
+    ): Long = if (map[name] == null) default else count(name)
 
     fun amount(name: String): Double {
-        val value = when (val v = map[name]) {
-            is Double -> v
-            is Long -> v.toDouble()
-            else -> wrong(name, "a number")
-        }
+        val value =
+            when (val v = map[name]) {
+                is Double -> v
+                is Long -> v.toDouble()
+                else -> wrong(name, "a number")
+            }
         if (!value.isFinite() || value < 0.0) wrong(name, "a finite number not below 0")
         return value
     }
@@ -162,6 +217,8 @@
 
     fun mapOrNull(name: String): Fields? = (map[name] as? Map<*, *>)?.let { Fields(it) }
 
-    fun wrong(name: String, want: String): Nothing =
-        throw MalformedException(if (map[name] == null) "$name is missing" else "$name must be $want")
+    fun wrong(
+        name: String,
+        want: String,
+    ): Nothing = throw MalformedException(if (map[name] == null) "$name is missing" else "$name must be $want")
 }
--- a/src/main/kotlin/dewwing/protocol/Settings.kt
+++ b/src/main/kotlin/dewwing/protocol/Settings.kt
@@ -10,10 +10,15 @@
 import kotlinx.serialization.json.doubleOrNull
 
 /** A setting is missing or wrong; the message names the field. */
-class BadSettingsException(message: String) : Exception(message)
+class BadSettingsException(
+    message: String,
+) : Exception(message)
 
 /** Host and port, by IP number. */
-data class Endpoint(val host: String, val port: Int) {
+data class Endpoint(
+    val host: String,
+    val port: Int,
+) {
     override fun toString(): String = "$host:$port"
 
     companion object {
@@ -26,7 +31,10 @@
     }
 }
 
-data class Sibling(val name: String, val endpoint: Endpoint)
+data class Sibling(
+    val name: String,
+    val endpoint: Endpoint,
+)
 
 /** A cap of null is none; the platform writes 0 for it. */
 data class Team(
@@ -39,7 +47,12 @@
 
 enum class ObjectiveKind { WAIT, FINISHED }
 
-data class Objective(val kind: ObjectiveKind, val jobClass: String, val withinS: Double, val share: Double)
+data class Objective(
+    val kind: ObjectiveKind,
+    val jobClass: String,
+    val withinS: Double,
+    val share: Double,
+)
 
 data class WorkerTimes(
     val report: Span,
@@ -49,9 +62,17 @@
     val cancel: Span,
 )
 
-data class StateLimits(val requestsPerS: Double, val writesPerS: Double, val valueBytes: Int, val opsPerCommit: Int)
+data class StateLimits(
+    val requestsPerS: Double,
+    val writesPerS: Double,
+    val valueBytes: Int,
+    val opsPerCommit: Int,
+)
 
-data class CloudLimits(val requestsPerS: Double, val listLag: Span)
+data class CloudLimits(
+    val requestsPerS: Double,
+    val listLag: Span,
+)
 
 /** What the platform hands every controller. */
 data class Settings(
@@ -70,11 +91,12 @@
 ) {
     companion object {
         fun parse(text: String): Settings {
-            val json = try {
-                Json.parseToJsonElement(text)
-            } catch (e: SerializationException) {
-                throw BadSettingsException("not JSON: ${e.message?.lineSequence()?.first()}")
-            }
+            val json =
+                try {
+                    Json.parseToJsonElement(text)
+                } catch (e: SerializationException) {
+                    throw BadSettingsException("not JSON: ${e.message?.lineSequence()?.first()}")
+                }
             val root = Section("", json as? JsonObject ?: throw BadSettingsException("not a JSON object"))
             val facts = root.section("facts")
             val endpoints = root.section("endpoints")
@@ -91,49 +113,60 @@
                 state = endpoints.endpoint("state"),
                 teams = facts.sections("teams").map { team(it) },
                 objectives = facts.sections("objectives").mapNotNull { objective(it) },
-                workers = WorkerTimes(
-                    report = workers.span("report_s"),
-                    lease = workers.span("lease_s"),
-                    gangWait = workers.span("gang_wait_s"),
-                    gangPeer = workers.span("gang_peer_s"),
-                    cancel = workers.span("cancel_s"),
-                ),
-                stateLimits = StateLimits(
-                    requestsPerS = state.positive("rps"),
-                    writesPerS = state.positive("write_rps"),
-                    valueBytes = (state.positive("value_kb") * 1024).toInt(),
-                    opsPerCommit = state.positive("txn_ops").toInt().coerceAtLeast(1),
-                ),
+                workers =
+                    WorkerTimes(
+                        report = workers.span("report_s"),
+                        lease = workers.span("lease_s"),
+                        gangWait = workers.span("gang_wait_s"),
+                        gangPeer = workers.span("gang_peer_s"),
+                        cancel = workers.span("cancel_s"),
+                    ),
+                stateLimits =
+                    StateLimits(
+                        requestsPerS = state.positive("rps"),
+                        writesPerS = state.positive("write_rps"),
+                        valueBytes = (state.positive("value_kb") * 1024).toInt(),
+                        opsPerCommit = state.positive("txn_ops").toInt().coerceAtLeast(1),
+                    ),
                 cloudLimits = CloudLimits(cloud.positive("rps"), cloud.span("list_lag_s")),
                 sockets = limits.positive("sockets").toInt(),
             )
         }
 
-        private fun team(s: Section): Team = Team(
-            name = s.text("name"),
-            cores = s.notNegative("cpus"),
-            coresMax = s.notNegative("cpus_max").takeIf { it > 0 },
-            accelerators = s.notNegative("gpus"),
-            acceleratorsMax = s.notNegative("gpus_max").takeIf { it > 0 },
-        )
+        private fun team(s: Section): Team =
+            Team(
+                name = s.text("name"),
+                cores = s.notNegative("cpus"),
+                coresMax = s.notNegative("cpus_max").takeIf { it > 0 },
+                accelerators = s.notNegative("gpus"),
+                acceleratorsMax = s.notNegative("gpus_max").takeIf { it > 0 },
+            )
 
         /** Kinds of objective we do not know are somebody else's. */
         private fun objective(s: Section): Objective? {
-            val kind = when (s.text("kind")) {
-                "wait" -> ObjectiveKind.WAIT
-                "finished" -> ObjectiveKind.FINISHED
-                else -> return null
-            }
+            val kind =
+                when (s.text("kind")) {
+                    "wait" -> ObjectiveKind.WAIT
+                    "finished" -> ObjectiveKind.FINISHED
+                    else -> return null
+                }
             return Objective(kind, s.text("class"), s.positive("within_s"), s.notNegative("share"))
         }
     }
 
-    private class Section(val path: String, val json: JsonObject) {
+    private class Section(
+        val path: String,
+        val json: JsonObject,
+    ) {
         private fun at(name: String) = if (path.isEmpty()) name else "$path.$name"
 
-        private fun wrong(name: String, want: String): Nothing = throw BadSettingsException(
-            if (json[name] == null || json[name] is JsonNull) "${at(name)} is missing" else "${at(name)} must be $want",
-        )
+        private fun wrong(
+            name: String,
+            want: String,
+        ): Nothing =
+            throw BadSettingsException(
+                if (json[name] == null || json[name] is JsonNull) "${at(name)} is missing" else "${at(name)} must be $want",
+            )
 
         private fun primitive(name: String): JsonPrimitive? = json[name] as? JsonPrimitive
 
@@ -153,7 +186,9 @@
         }
 
         fun positive(name: String): Double = number(name).also { if (it <= 0) wrong(name, "above 0") }
+
         fun notNegative(name: String): Double = number(name).also { if (it < 0) wrong(name, "0 or more") }
+
         fun span(name: String): Span = Span.ofSeconds(positive(name))
 
         fun section(name: String): Section = Section(at(name), json[name] as? JsonObject ?: wrong(name, "an object"))
--- a/src/main/kotlin/dewwing/protocol/Wire.kt
+++ b/src/main/kotlin/dewwing/protocol/Wire.kt
@@ -22,30 +22,34 @@
     private val shapeWords = shapes.entries.associate { (word, shape) -> shape to word }
     private val urgencies = Urgency.entries.associateBy { it.name.lowercase() }
     private val stages = JobStage.entries.associateBy { it.name.lowercase() }
-    private val taskStages = mapOf(
-        "pulling" to TaskStage.FETCHING,
-        "waiting" to TaskStage.WAITING,
-        "running" to TaskStage.RUNNING,
-        "saving" to TaskStage.SAVING,
-        "ended" to TaskStage.ENDED,
-    )
-    private val causes = mapOf(
-        "done" to EndCause.DONE,
-        "halted" to EndCause.STOPPED,
-        "peers" to EndCause.PEERS,
-        "incomplete" to EndCause.INCOMPLETE,
-        "error" to EndCause.ERROR,
-        "no_room" to EndCause.NO_ROOM,
-        "in_use" to EndCause.IN_USE,
-        "no_such" to EndCause.UNKNOWN_JOB,
-    )
-    private val listed = mapOf(
-        "starting" to ListedStage.STARTING,
-        "running" to ListedStage.RUNNING,
-        "failed" to ListedStage.FAILED,
-    )
+    private val taskStages =
+        mapOf(
+            "pulling" to TaskStage.FETCHING,
+            "waiting" to TaskStage.WAITING,
+            "running" to TaskStage.RUNNING,
+            "saving" to TaskStage.SAVING,
+            "ended" to TaskStage.ENDED,
+        )
+    private val causes =
+        mapOf(
+            "done" to EndCause.DONE,
+            "halted" to EndCause.STOPPED,
+            "peers" to EndCause.PEERS,
+            "incomplete" to EndCause.INCOMPLETE,
+            "error" to EndCause.ERROR,
+            "no_room" to EndCause.NO_ROOM,
+            "in_use" to EndCause.IN_USE,
+            "no_such" to EndCause.UNKNOWN_JOB,
+        )
+    private val listed =
+        mapOf(
+            "starting" to ListedStage.STARTING,
+            "running" to ListedStage.RUNNING,
+            "failed" to ListedStage.FAILED,
+        )
 
     fun stageWord(stage: JobStage): String = stage.name.lowercase()
+
     fun stageOf(word: String): JobStage? = stages[word]
 
     /** The id of a submission, so that a retry of a known job can be recognised before its content is judged. */
@@ -85,46 +89,54 @@
         return text
     }
 
-    fun jobSpecMap(s: JobSpec): Map<String, Any?> = linkedMapOf(
-        "ref" to s.ref.value,
-        "flock" to s.jobClass,
-        "roost" to s.team,
-        "shape" to shapeWords.getValue(s.shape),
-        "urgency" to s.urgency.name.lowercase(),
-        "drops" to s.tasks,
-        "cores" to s.need.cores,
-        "accelerators" to s.need.accelerators,
-        "memoryGb" to s.need.memoryGb,
-        "seed" to s.image,
-        "sizeGb" to s.imageGb,
-        "perchKinds" to s.types,
-        "meadow" to s.zone,
-        "together" to s.oneZone,
-        "apart" to s.spread,
-        "windfall" to s.spot,
-        "expectS" to s.estimateS,
-        "dewS" to s.checkpointS,
-        "settleS" to s.saveS,
-        "dueS" to s.deadlineS,
-    )
+    fun jobSpecMap(s: JobSpec): Map<String, Any?> =
+        linkedMapOf(
+            "ref" to s.ref.value,
+            "flock" to s.jobClass,
+            "roost" to s.team,
+            "shape" to shapeWords.getValue(s.shape),
+            "urgency" to s.urgency.name.lowercase(),
+            "drops" to s.tasks,
+            "cores" to s.need.cores,
+            "accelerators" to s.need.accelerators,
+            "memoryGb" to s.need.memoryGb,
+            "seed" to s.image,
+            "sizeGb" to s.imageGb,
+            "perchKinds" to s.types,
+            "meadow" to s.zone,
+            "together" to s.oneZone,
+            "apart" to s.spread,
+            "windfall" to s.spot,
+            "expectS" to s.estimateS,
+            "dewS" to s.checkpointS,
+            "settleS" to s.saveS,
+            "dueS" to s.deadlineS,
+        )
 
-    fun jobAnswer(ref: JobRef, stage: JobStage): Map<String, Any?> =
-        linkedMapOf("ref" to ref.value, "stage" to stageWord(stage))
+    fun jobAnswer(
+        ref: JobRef,
+        stage: JobStage,
+    ): Map<String, Any?> = linkedMapOf("ref" to ref.value, "stage" to stageWord(stage))
 
-    fun queryAnswer(ref: JobRef, stage: JobStage, done: Int, running: Int): Map<String, Any?> =
-        linkedMapOf("ref" to ref.value, "stage" to stageWord(stage), "done" to done, "running" to running)
+    fun queryAnswer(
+        ref: JobRef,
+        stage: JobStage,
+        done: Int,
+        running: Int,
+    ): Map<String, Any?> = linkedMapOf("ref" to ref.value, "stage" to stageWord(stage), "done" to done, "running" to running)
 
     fun report(f: Fields): Report {
-        val tasks = f.maps("drops").map { t ->
-            val stage = taskStages[t.text("stage")] ?: t.wrong("stage", "a task state")
-            ReportedTask(
-                task = TaskRef.parse(t.text("drop")) ?: t.wrong("drop", "a task such as job-000412/3"),
-                attempt = Step(t.count("try")),
-                stage = stage,
-                cause = if (stage == TaskStage.ENDED) causes[t.textOrNull("cause") ?: ""] ?: EndCause.OTHER else null,
-                saved = t.raw["saved"] == true,
-            )
-        }
+        val tasks =
+            f.maps("drops").map { t ->
+                val stage = taskStages[t.text("stage")] ?: t.wrong("stage", "a task state")
+                ReportedTask(
+                    task = TaskRef.parse(t.text("drop")) ?: t.wrong("drop", "a task such as job-000412/3"),
+                    attempt = Step(t.count("try")),
+                    stage = stage,
+                    cause = if (stage == TaskStage.ENDED) causes[t.textOrNull("cause") ?: ""] ?: EndCause.OTHER else null,
+                    saved = t.raw["saved"] == true,
+                )
+            }
         return Report(
             machine = MachineId(f.short("perch")),
             endpoint = f.text("endpoint"),
@@ -138,69 +150,112 @@
         )
     }
 
-    fun reportAnswer(term: Term, commands: List<Command>): Map<String, Any?> =
-        linkedMapOf("crest" to term.value, "calls" to commands.map(::commandMap))
+    fun reportAnswer(
+        term: Term,
+        commands: List<Command>,
+    ): Map<String, Any?> = linkedMapOf("crest" to term.value, "calls" to commands.map(::commandMap))
 
-    fun doBody(term: Term, session: Long, commands: List<Command>): Map<String, Any?> =
-        linkedMapOf("crest" to term.value, "flight" to session, "calls" to commands.map(::commandMap))
+    fun doBody(
+        term: Term,
+        session: Long,
+        commands: List<Command>,
+    ): Map<String, Any?> = linkedMapOf("crest" to term.value, "flight" to session, "calls" to commands.map(::commandMap))
 
     fun redirect(node: String?): Map<String, Any?> = if (node == null) emptyMap() else mapOf("nest" to node)
 
-    private fun commandMap(c: Command): Map<String, Any?> = when (c) {
-        is Command.Launch -> linkedMapOf("call" to "launch", "drop" to c.task.toString(), "try" to c.attempt.value)
-        is Command.Kill -> linkedMapOf(
-            "call" to "kill", "drop" to c.task.toString(), "try" to c.attempt.value, "lingerS" to c.graceS,
-        )
-        is Command.Reap -> linkedMapOf("call" to "reap", "drop" to c.task.toString(), "try" to c.attempt.value)
-    }
+    private fun commandMap(c: Command): Map<String, Any?> =
+        when (c) {
+            is Command.Launch -> {
+                linkedMapOf("call" to "launch", "drop" to c.task.toString(), "try" to c.attempt.value)
+            }
 
-    fun machineTypes(f: Fields): List<MachineType> = f.maps("perchKinds").map { t ->
-        MachineType(
-            name = t.text("name"),
-            size = Resources(t.amount("cores"), t.amount("accelerators"), t.amount("memoryGb")),
-            cacheGb = t.amount("cacheGb"),
-            fetchGbPerS = t.amount("pullGbPerS"),
-            price = t.amount("rate"),
-            spotPrice = t.amountOrNull("marketPrice") ?: t.amount("rate"),
-            bootS = t.amount("readyS"),
-            zones = t.textsOrNull("meadows") ?: emptyList(),
-        )
-    }
+            is Command.Kill -> {
+                linkedMapOf(
+                    "call" to "kill",
+                    "drop" to c.task.toString(),
+                    "try" to c.attempt.value,
+                    "lingerS" to c.graceS,
+                )
+            }
+
+            is Command.Reap -> {
+                linkedMapOf("call" to "reap", "drop" to c.task.toString(), "try" to c.attempt.value)
+            }
+        }
 
-    fun machineTypesMap(types: List<MachineType>): Map<String, Any?> = mapOf(
-        "perchKinds" to types.map {
-            linkedMapOf(
-                "name" to it.name, "cores" to it.size.cores, "accelerators" to it.size.accelerators,
-                "memoryGb" to it.size.memoryGb, "cacheGb" to it.cacheGb, "pullGbPerS" to it.fetchGbPerS,
-                "rate" to it.price, "marketPrice" to it.spotPrice, "readyS" to it.bootS, "meadows" to it.zones,
+    fun machineTypes(f: Fields): List<MachineType> =
+        f.maps("perchKinds").map { t ->
+            MachineType(
+                name = t.text("name"),
+                size = Resources(t.amount("cores"), t.amount("accelerators"), t.amount("memoryGb")),
+                cacheGb = t.amount("cacheGb"),
+                fetchGbPerS = t.amount("pullGbPerS"),
+                price = t.amount("rate"),
+                spotPrice = t.amountOrNull("marketPrice") ?: t.amount("rate"),
+                bootS = t.amount("readyS"),
+                zones = t.textsOrNull("meadows") ?: emptyList(),
             )
-        },
-    )
+        }
 
-    fun rentBody(ask: String, type: String, zone: String, spot: Boolean, count: Int): Map<String, Any?> = linkedMapOf(
-        "ask" to ask, "perchKind" to type, "meadow" to zone, "windfall" to spot, "count" to count,
-    )
+    fun machineTypesMap(types: List<MachineType>): Map<String, Any?> =
+        mapOf(
+            "perchKinds" to
+                types.map {
+                    linkedMapOf(
+                        "name" to it.name,
+                        "cores" to it.size.cores,
+                        "accelerators" to it.size.accelerators,
+                        "memoryGb" to it.size.memoryGb,
+                        "cacheGb" to it.cacheGb,
+                        "pullGbPerS" to it.fetchGbPerS,
+                        "rate" to it.price,
+                        "marketPrice" to it.spotPrice,
+                        "readyS" to it.bootS,
+                        "meadows" to it.zones,
+                    )
+                },
+        )
+
+    fun rentBody(
+        ask: String,
+        type: String,
+        zone: String,
+        spot: Boolean,
+        count: Int,
+    ): Map<String, Any?> =
+        linkedMapOf(
+            "ask" to ask,
+            "perchKind" to type,
+            "meadow" to zone,
+            "windfall" to spot,
+            "count" to count,
+        )
 
     fun rented(f: Fields): List<MachineId> = (f.textsOrNull("perches") ?: f.wrong("perches", "a list")).map(::MachineId)
 
     fun releaseBody(ids: List<MachineId>): Map<String, Any?> = mapOf("perches" to ids.map { it.value })
 
     fun machineList(f: Fields): Pair<List<ListedMachine>, Boolean> {
-        val machines = f.maps("perches").map { m ->
-            ListedMachine(
-                id = MachineId(m.text("ref")),
-                type = m.text("perchKind"),
-                zone = m.text("meadow"),
-                spot = m.flag("windfall"),
-                stage = listed[m.text("stage")] ?: m.wrong("stage", "starting, running or failed"),
-                ageS = m.amount("ageS"),
-            )
-        }
+        val machines =
+            f.maps("perches").map { m ->
+                ListedMachine(
+                    id = MachineId(m.text("ref")),
+                    type = m.text("perchKind"),
+                    zone = m.text("meadow"),
+                    spot = m.flag("windfall"),
+                    stage = listed[m.text("stage")] ?: m.wrong("stage", "starting, running or failed"),
+                    ageS = m.amount("ageS"),
+                )
+            }
         return machines to (f.raw["hasNext"] == true)
     }
 
     /** One key as the state service holds it; a null value means that it was removed. */
-    data class Entry(val key: String, val value: Map<String, Any?>?, val revision: Revision)
+    data class Entry(
+        val key: String,
+        val value: Map<String, Any?>?,
+        val revision: Revision,
+    )
 
     fun entry(f: Fields): Entry = Entry(f.text("path"), f.valueMap("value"), Revision(f.count("mark")))
 
@@ -212,15 +267,20 @@
     fun failedKeys(f: Fields): List<String> = f.textsOrNull("failed") ?: emptyList()
 
     fun followed(f: Fields): Pair<List<Entry>, Revision> {
-        val entries = f.maps("log").map { e ->
-            val put = e.textOrNull("put")
-            if (put != null) Entry(put, e.valueMap("value"), Revision(e.count("mark")))
-            else Entry(e.text("remove"), null, Revision(e.count("mark")))
-        }
+        val entries =
+            f.maps("log").map { e ->
+                val put = e.textOrNull("put")
+                if (put != null) {
+                    Entry(put, e.valueMap("value"), Revision(e.count("mark")))
+                } else {
+                    Entry(e.text("remove"), null, Revision(e.count("mark")))
+                }
+            }
         return entries to tide(f)
     }
 
     fun holdBody(ttl: Span): Map<String, Any?> = mapOf("ttlMs" to ttl.ms)
+
     fun holdId(f: Fields): HoldId = HoldId(f.count("tether"))
 
     @Suppress("UNCHECKED_CAST") // Decoded maps have text keys only; Pack refuses others.
--- a/src/test/kotlin/dewwing/control/core/CoreTest.kt
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -42,14 +42,24 @@
 
     private fun leadership() = Leadership(LeadershipTimes.of(leaseOf10, Span(2_500), Span(2_500)), setOf("b", "c"))
 
-    private fun Leadership.elected(term: Term, at: Instant, readAt: Instant) {
+    private fun Leadership.elected(
+        term: Term,
+        at: Instant,
+        readAt: Instant,
+    ) {
         elected(term, at)
         readJobs(readAt)
     }
 
     /** A word that was said and came in at [ms]. */
-    private fun Leadership.hear(name: String, ms: Long, reaches: Boolean, term: Long = 3, life: Long = 1, tellsAll: Boolean = true) =
-        heard(name, SiblingWord(at(ms), reaches, Term(term), Incarnation(life), tellsAll), at(ms))
+    private fun Leadership.hear(
+        name: String,
+        ms: Long,
+        reaches: Boolean,
+        term: Long = 3,
+        life: Long = 1,
+        tellsAll: Boolean = true,
+    ) = heard(name, SiblingWord(at(ms), reaches, Term(term), Incarnation(life), tellsAll), at(ms))
 
     @Test
     fun `a leader acts while its hold runs, counted from when the renewal was sent`() {
@@ -107,7 +117,11 @@
             l.prepare()
             return l.authority(at(5_000), true)
         }
-        fun Leadership.words(b: Boolean = true, life: Long = 1) {
+
+        fun Leadership.words(
+            b: Boolean = true,
+            life: Long = 1,
+        ) {
             hear("b", 4_800, false, tellsAll = b, life = life)
             hear("c", 4_900, false)
         }
@@ -117,21 +131,30 @@
         // A sibling that restarted has forgotten what it told its users ...
         assertEquals(Authority.NONE, inOutage { words(life = 2) })
         // ... which a reading that was asked for later has shown.
-        assertEquals(Authority.RENEW_ONLY, inOutage {
-            hear("b", 1_500, true, life = 2)
-            readJobs(at(1_500))
-            words(life = 2)
-        })
-        assertEquals(Authority.NONE, inOutage {
-            hear("b", 1_500, true, life = 2)
-            readJobs(at(1_499))
-            words(life = 2)
-        })
+        assertEquals(
+            Authority.RENEW_ONLY,
+            inOutage {
+                hear("b", 1_500, true, life = 2)
+                readJobs(at(1_500))
+                words(life = 2)
+            },
+        )
+        assertEquals(
+            Authority.NONE,
+            inOutage {
+                hear("b", 1_500, true, life = 2)
+                readJobs(at(1_499))
+                words(life = 2)
+            },
+        )
         // A new term has to read the jobs itself.
-        assertEquals(Authority.NONE, inOutage {
-            elected(Term(3), at(2_000))
-            words()
-        })
+        assertEquals(
+            Authority.NONE,
+            inOutage {
+                elected(Term(3), at(2_000))
+                words()
+            },
+        )
     }
 
     /** Guards against a watch that hangs while the hold is renewed, and against a leader that has not read its picture. */
@@ -163,9 +186,14 @@
     fun `a lease given in ignorance runs out within the time of a cancellation, whatever the settings`() {
         val random = Random(11)
         repeat(2_000) {
-            val workers = WorkerTimes(
-                Span(random.nextLong(500, 6_000)), Span(random.nextLong(1_000, 60_000)), Span(1), Span(1), Span(random.nextLong(1_000, 120_000)),
-            )
+            val workers =
+                WorkerTimes(
+                    Span(random.nextLong(500, 6_000)),
+                    Span(random.nextLong(1_000, 60_000)),
+                    Span(1),
+                    Span(1),
+                    Span(random.nextLong(1_000, 120_000)),
+                )
             val times = LeadershipTimes.of(workers, Span(random.nextLong(1_000, 8_000)), Span(2_500))
             val lease = workers.lease.ms * 1.0005
             if (times.wordAge.ms > 0) assertTrue(times.wordAge.ms + lease < workers.cancel.ms, "$workers")
@@ -209,7 +237,12 @@
     /** Guards against a leader that keeps its hold while no worker reaches it (a cut from the workers alone). */
     @Test
     fun `a leader whose workers turn up elsewhere hands over, one that only they have left alone does not`() {
-        fun ticksUntil(machines: Int, siblings: Boolean, elsewhere: Boolean, reportEvery: Int = 0): Int? {
+        fun ticksUntil(
+            machines: Int,
+            siblings: Boolean,
+            elsewhere: Boolean,
+            reportEvery: Int = 0,
+        ): Int? {
             val watch = WorkerWatch(Span(2_000), Span(10_000))
             for (n in 1..100) {
                 if (reportEvery > 0 && n % reportEvery == 0) watch.heardWorker()
@@ -240,17 +273,45 @@
 
     private val type = MachineType("k", Resources(8.0, 2.0, 64.0), 10.0, 1.0, 1.0, 0.5, 10.0, listOf("a", "b"))
 
-    private fun spec(tasks: Int, shape: JobShape = JobShape.ARRAY, oneZone: Boolean = false, spread: Boolean = false) = JobSpec(
-        JobRef("job-1"), "c", "t", shape, Urgency.HIGH, tasks, Resources(2.0, 0.0, 4.0), "i", 1.0, null, null,
-        oneZone, spread, true, 10.0, 0.0, 0.0, null,
+    private fun spec(
+        tasks: Int,
+        shape: JobShape = JobShape.ARRAY,
+        oneZone: Boolean = false,
+        spread: Boolean = false,
+    ) = JobSpec(
+        JobRef("job-1"),
+        "c",
+        "t",
+        shape,
+        Urgency.HIGH,
+        tasks,
+        Resources(2.0, 0.0, 4.0),
+        "i",
+        1.0,
+        null,
+        null,
+        oneZone,
+        spread,
+        true,
+        10.0,
+        0.0,
+        0.0,
+        null,
     )
 
-    private fun machine(n: Int, zone: String = "a") = Machine(MachineId("m-$n"), at(0)).also {
+    private fun machine(
+        n: Int,
+        zone: String = "a",
+    ) = Machine(MachineId("m-$n"), at(0)).also {
         it.type = type
         it.zone = zone
     }
 
-    private fun fill(m: Machine, job: Job, tasks: IntRange) {
+    private fun fill(
+        m: Machine,
+        job: Job,
+        tasks: IntRange,
+    ) {
         for (t in tasks) m.attach(Attempt(job, t, Step(1), m, AttemptPhase.SEEN))
     }
 
@@ -293,9 +354,11 @@
         val machines = listOf(machine(0, "a"), machine(1, "b"))
         val job = Job(spec(5, spread = true), Revision(1), 0)
         val unheard = Machine(MachineId("m-9"), at(0))
-        for (t in 0..1) Attempt(job, t, Step(1), unheard, AttemptPhase.INHERITED).let {
-            job.attach(it)
-            unheard.attach(it)
+        for (t in 0..1) {
+            Attempt(job, t, Step(1), unheard, AttemptPhase.INHERITED).let {
+                job.attach(it)
+                unheard.attach(it)
+            }
         }
         val placed = Placer.place(job, machines, 3)
         assertEquals(mapOf("a" to 1, "b" to 1), placed.associate { it.machine.zone to it.count })
@@ -329,14 +392,18 @@
     /** The core decides; only the adapters round it may touch the world, the clock or chance. */
     @Test
     fun `the core has no input or output, clock or randomness`() {
-        val banned = Regex(
-            """\b(java\.net|java\.io|java\.nio|io\.ktor|okio|kotlinx\.coroutines|System\.|Random|Thread|Clock|kotlin\.time|java\.time)\b""",
-        )
+        val banned =
+            Regex(
+                """\b(java\.net|java\.io|java\.nio|io\.ktor|okio|kotlinx\.coroutines|System\.|Random|Thread|Clock|kotlin\.time|java\.time)\b""",
+            )
         val files = File("src/main/kotlin/dewwing/control/core").walkTopDown().filter { it.extension == "kt" }.toList()
         assertTrue(files.size > 5)
         for (f in files) {
             for ((n, line) in f.readLines().withIndex()) {
-                assertFalse(banned.containsMatchIn(line.substringBefore("//").takeIf { !it.trim().startsWith("*") } ?: ""), "${f.name}:${n + 1}: $line")
+                assertFalse(
+                    banned.containsMatchIn(line.substringBefore("//").takeIf { !it.trim().startsWith("*") } ?: ""),
+                    "${f.name}:${n + 1}: $line",
+                )
             }
         }
         // The check can fail:
--- a/src/test/kotlin/dewwing/control/core/Fixtures.kt
+++ b/src/test/kotlin/dewwing/control/core/Fixtures.kt
@@ -19,5 +19,7 @@
     listOf(Team("t", 0.0, null, 0.0, null)),
     startAims.map { (jobClass, withinS) -> Objective(ObjectiveKind.WAIT, jobClass, withinS, 0.9) },
     WorkerTimes(report, lease, Span(30_000), Span(6_000), Span(30_000)),
-    state, CloudLimits(4.0, Span(3_000)), tunables,
+    state,
+    CloudLimits(4.0, Span(3_000)),
+    tunables,
 )
