--- a/src/test/kotlin/dewwing/control/core/GrowthTest.kt
+++ b/src/test/kotlin/dewwing/control/core/GrowthTest.kt
@@ -28,7 +28,11 @@
  */
 class GrowthTest {
     /** A fleet of [machines] full machines with [queued] jobs that find no place. */
-    private class Loaded(private val machines: Int, queued: Int, shape: JobShape = JobShape.ARRAY) {
+    private class Loaded(
+        private val machines: Int,
+        queued: Int,
+        shape: JobShape = JobShape.ARRAY,
+    ) {
         private val type = MachineType("k", Resources(8.0, 2.0, 64.0), 10.0, 1.0, 1.0, 0.5, 60.0, listOf("a"))
         private val settings = settingsOf(Span(4_000), Span(22_000), StateLimits(1e6, 1e6, 65_536, 64), mapOf("c" to 10.0))
         val scheduler = Scheduler(settings, Term(5), Revision(50), Instant(0), 0).also { it.onTypes(listOf(type)) }
@@ -37,18 +41,50 @@
         var now = 0L
         private var revision = 100L
 
-        private fun submit(id: Int, tasks: Int, shape: JobShape) {
-            val spec = JobSpec(
-                JobRef("job-$id"), "c", "t", shape, Urgency.HIGH, tasks, Resources(4.0, 1.0, 8.0), "i", 1.0, null, null, false, false,
-                true, 30.0, 0.0, 0.0, null,
-            )
+        private fun submit(
+            id: Int,
+            tasks: Int,
+            shape: JobShape,
+        ) {
+            val spec =
+                JobSpec(
+                    JobRef("job-$id"),
+                    "c",
+                    "t",
+                    shape,
+                    Urgency.HIGH,
+                    tasks,
+                    Resources(4.0, 1.0, 8.0),
+                    "i",
+                    1.0,
+                    null,
+                    null,
+                    false,
+                    false,
+                    true,
+                    30.0,
+                    0.0,
+                    0.0,
+                    null,
+                )
             scheduler.onJobEntry(spec.ref, JobRecord(JobStage.QUEUED, spec, now), Revision(id.toLong()), Instant(now))
         }
 
         /** One report of machine [i], its answer carried out. */
         fun report(i: Int): Long {
             val before = scheduler.effort.looks
-            val r = Report(MachineId("m-%05d".format(i)), "10.0.0.1:1", "k", "a", true, Position(1, ++seq), Term(5), null, held[i].values.toList())
+            val r =
+                Report(
+                    MachineId("m-%05d".format(i)),
+                    "10.0.0.1:1",
+                    "k",
+                    "a",
+                    true,
+                    Position(1, ++seq),
+                    Term(5),
+                    null,
+                    held[i].values.toList(),
+                )
             scheduler.onReport(r, Instant(now))
             scheduler.worthWaiting(r.machine)
             for (c in scheduler.commands(r, Instant(now), true)) {
@@ -78,15 +114,20 @@
         }
     }
 
-    private fun most(times: Int, looks: () -> Long): Long = (1..times).maxOf { looks() }
+    private fun most(
+        times: Int,
+        looks: () -> Long,
+    ): Long = (1..times).maxOf { looks() }
 
     @Test
     fun `a round looks at each machine a few times, not once for each waiting job`() {
         for (machines in listOf(100, 500, 1_500)) {
-            for (queued in listOf(10, 200)) for (shape in listOf(JobShape.ARRAY, JobShape.GANG)) {
-                val loaded = Loaded(machines, queued, shape)
-                val looks = most(10) { loaded.round() }
-                assertTrue(looks <= 8 * machines + 8 * queued, "$machines machines, $queued jobs $shape: $looks looks in a round")
+            for (queued in listOf(10, 200)) {
+                for (shape in listOf(JobShape.ARRAY, JobShape.GANG)) {
+                    val loaded = Loaded(machines, queued, shape)
+                    val looks = most(10) { loaded.round() }
+                    assertTrue(looks <= 8 * machines + 8 * queued, "$machines machines, $queued jobs $shape: $looks looks in a round")
+                }
             }
         }
     }
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -37,22 +37,60 @@
     private val type = MachineType("k", Resources(8.0, 2.0, 64.0), 10.0, 1.0, 1.0, 0.5, 60.0, listOf("a"))
     private val settings = settingsOf(Span(2_000), Span(10_000), StateLimits(200.0, 25.0, 4096, 8), mapOf("urgent" to 10.0))
     private val term = Term(5)
-    private val scheduler = Scheduler(settings, term, Revision(50), Instant(0), 0).also {
-        it.onTypes(listOf(type))
-        it.onList(emptyList(), Instant(0))
-    }
+    private val scheduler =
+        Scheduler(settings, term, Revision(50), Instant(0), 0).also {
+            it.onTypes(listOf(type))
+            it.onList(emptyList(), Instant(0))
+        }
     private var now = 0L
     private var seq = 0L
 
-    private fun spec(id: Int, jobClass: String, urgency: Urgency, shape: JobShape, need: Resources, checkpointS: Double = 0.0) = JobSpec(
-        JobRef("job-$id"), jobClass, "t", shape, urgency, 1, need, "i", 1.0, null, null, false, false, true, 30.0,
-        checkpointS, 2.0, null,
+    private fun spec(
+        id: Int,
+        jobClass: String,
+        urgency: Urgency,
+        shape: JobShape,
+        need: Resources,
+        checkpointS: Double = 0.0,
+    ) = JobSpec(
+        JobRef("job-$id"),
+        jobClass,
+        "t",
+        shape,
+        urgency,
+        1,
+        need,
+        "i",
+        1.0,
+        null,
+        null,
+        false,
+        false,
+        true,
+        30.0,
+        checkpointS,
+        2.0,
+        null,
     )
 
     private fun submit(s: JobSpec) =
-        scheduler.onJobEntry(s.ref, JobRecord(JobStage.QUEUED, s, now), Revision(s.ref.value.removePrefix("job-").toLong()), Instant(now))
+        scheduler.onJobEntry(
+            s.ref,
+            JobRecord(JobStage.QUEUED, s, now),
+            Revision(
+                s.ref.value
+                    .removePrefix("job-")
+                    .toLong(),
+            ),
+            Instant(now),
+        )
 
-    private fun report(id: String, vararg tasks: ReportedTask, crest: Term = term, session: Long = 1): List<Command> {
+    private fun report(
+        id: String,
+        vararg tasks: ReportedTask,
+        crest: Term = term,
+        session: Long = 1,
+    ): List<Command> {
         val r = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, Position(session, ++seq), crest, null, tasks.toList())
         scheduler.onReport(r, Instant(now))
         return scheduler.commands(r, Instant(now), mayStart = true)
@@ -74,8 +112,10 @@
         report("m-1")
     }
 
-    private fun running(id: Int, attempt: Step = Step(1)) =
-        ReportedTask(TaskRef(JobRef("job-$id"), 0), attempt, TaskStage.RUNNING, null, false)
+    private fun running(
+        id: Int,
+        attempt: Step = Step(1),
+    ) = ReportedTask(TaskRef(JobRef("job-$id"), 0), attempt, TaskStage.RUNNING, null, false)
 
     private val half = Resources(4.0, 1.0, 8.0)
 
@@ -108,7 +148,12 @@
         assertTrue(report("m-1", ended, other).none { it is Command.Reap })
         now += 3_000
         val write = round().filterIsInstance<Effect.Write>().single()
-        assertEquals(listOf(0, 0), write.change.puts.single().second["done"])
+        assertEquals(
+            listOf(0, 0),
+            write.change.puts
+                .single()
+                .second["done"],
+        )
         assertEquals(1, report("m-1", ended, other).count { it is Command.Reap })
     }
 
@@ -129,6 +174,7 @@
         val job = spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half)
         s.restoreJob(job.ref, JobRecord(JobStage.QUEUED, job, 0), Revision(1))
         s.restored(Instant(0))
+
         fun ordersAt(ms: Long): Boolean {
             val effects = s.round(Instant(ms)) { true }
             if (effects.any { it is Effect.Write }) s.onWritten(Revision(1_000 + ms), Instant(ms))
@@ -149,6 +195,7 @@
         s.restoreJob(job.ref, JobRecord(JobStage.QUEUED, job, 0), Revision(1))
         s.restoreLog("log/job-1/000000007", LogRecord(listOf(LogRecord.Placed(MachineId("m-9"), BitSet().apply { set(0) })), BitSet()))
         s.restored(Instant(10_000))
+
         fun placesAt(ms: Long): Boolean {
             val r = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, Position(1, ms), term, null, emptyList())
             s.onReport(r, Instant(ms))
@@ -166,9 +213,15 @@
         s.restoreJob(job.ref, JobRecord(JobStage.QUEUED, job, 0), Revision(1))
         s.restoreLog("log/job-1/000000007", LogRecord(listOf(LogRecord.Placed(MachineId("m-9"), BitSet().apply { set(0) })), BitSet()))
         s.restored(Instant(0))
-        fun tell(crest: Term, n: Long) = s.onReport(
-            Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, Position(1, n), crest, null, emptyList()), Instant(n * 1_000),
+
+        fun tell(
+            crest: Term,
+            n: Long,
+        ) = s.onReport(
+            Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, Position(1, n), crest, null, emptyList()),
+            Instant(n * 1_000),
         )
+
         fun places() = s.round(Instant(now)) { true }.any { e -> e is Effect.Write && e.change.puts.any { it.first.startsWith("log/") } }
         tell(term, 1)
         for (t in 1..12) {
@@ -236,7 +289,11 @@
             var left = 3
             for (e in scheduler.round(Instant(now)) { left-- > 0 }) {
                 if (e !is Effect.Write) continue
-                val jobs = e.change.puts.map { it.first }.filter { it.startsWith("log/") }.map { it.substringBeforeLast('/') }
+                val jobs =
+                    e.change.puts
+                        .map { it.first }
+                        .filter { it.startsWith("log/") }
+                        .map { it.substringBeforeLast('/') }
                 assertTrue(jobs.size <= 3, "$jobs")
                 placed.addAll(jobs)
                 scheduler.onWritten(Revision(1_000 + now), Instant(now))
@@ -246,14 +303,23 @@
     }
 
     /** A report at a position of its own choice, as a late copy has it. */
-    private fun copy(id: String, session: Long, seq: Long, vararg tasks: ReportedTask): List<Command> {
+    private fun copy(
+        id: String,
+        session: Long,
+        seq: Long,
+        vararg tasks: ReportedTask,
+    ): List<Command> {
         val r = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, Position(session, seq), term, null, tasks.toList())
         scheduler.onReport(r, Instant(now))
         return scheduler.commands(r, Instant(now), mayStart = true)
     }
 
     private fun logsIn(effects: List<Effect>) =
-        effects.filterIsInstance<Effect.Write>().flatMap { it.change.puts }.map { it.first }.filter { it.startsWith("log/") }
+        effects
+            .filterIsInstance<Effect.Write>()
+            .flatMap { it.change.puts }
+            .map { it.first }
+            .filter { it.startsWith("log/") }
 
     /** Guards against placing on a machine for ever whose reports come while our answers do not reach it. */
     @Test
@@ -381,6 +447,7 @@
         round()
         report("m-1", running(1))
         report("m-1", running(1), running(2))
+
         fun victims(id: Int): List<String> {
             submit(spec(id, "urgent", Urgency.HIGH, JobShape.GANG, half))
             return round().filterIsInstance<Effect.Kill>().flatMap { it.kills }.map { it.task.job.value }
@@ -425,7 +492,17 @@
                 for (m in 1..3) {
                     val held = s.scheduler.let { _ -> s.onMachine["m-$m"].orEmpty() }
                     for (c in s.report("m-$m", *held.map { s.running(it) }.toTypedArray())) {
-                        if (c is Command.Launch) s.onMachine.getOrPut("m-$m") { ArrayList() }.add(c.task.job.value.removePrefix("job-").toInt())
+                        if (c is Command.Launch) {
+                            s.onMachine
+                                .getOrPut(
+                                    "m-$m",
+                                ) { ArrayList() }
+                                .add(
+                                    c.task.job.value
+                                        .removePrefix("job-")
+                                        .toInt(),
+                                )
+                        }
                     }
                 }
                 val effects = s.round()
@@ -519,18 +596,29 @@
         submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
         report("m-1")
         now += 200
-        val change = scheduler.round(Instant(now)) { true }.filterIsInstance<Effect.Write>().single().change
+        val change =
+            scheduler
+                .round(Instant(now)) { true }
+                .filterIsInstance<Effect.Write>()
+                .single()
+                .change
         scheduler.onUncertain()
         assertTrue(scheduler.onRefused(change.conditions.map { it.first }.filter { it.startsWith("log/") }, Instant(now)))
         assertEquals(1, report("m-1").count { it is Command.Launch })
         // The fence goes up with the next change, and the one after that stands on the next.
-        val fences = List(2) {
-            submit(spec(2 + it, "c", Urgency.STANDARD, JobShape.ARRAY, Resources(1.0, 0.0, 1.0)))
-            now += 200
-            val c = scheduler.round(Instant(now)) { true }.filterIsInstance<Effect.Write>().single().change
-            scheduler.onWritten(Revision(1_000 + now), Instant(now))
-            c.puts.count { p -> p.first.startsWith("fence/") } to c.conditions.single { p -> p.first.startsWith("fence/") }.first
-        }
+        val fences =
+            List(2) {
+                submit(spec(2 + it, "c", Urgency.STANDARD, JobShape.ARRAY, Resources(1.0, 0.0, 1.0)))
+                now += 200
+                val c =
+                    scheduler
+                        .round(Instant(now)) { true }
+                        .filterIsInstance<Effect.Write>()
+                        .single()
+                        .change
+                scheduler.onWritten(Revision(1_000 + now), Instant(now))
+                c.puts.count { p -> p.first.startsWith("fence/") } to c.conditions.single { p -> p.first.startsWith("fence/") }.first
+            }
         assertEquals(listOf(1, 0), fences.map { it.first })
         assertEquals(2, fences.map { it.second }.toSet().size)
     }
@@ -546,7 +634,12 @@
         report("m-1", running(1))
         report("m-2", ReportedTask(TaskRef(wide.ref, 0), Step(7), TaskStage.ENDED, EndCause.DONE, false))
         now += 200
-        val done = scheduler.round(Instant(now)) { true }.filterIsInstance<Effect.Write>().single().change.puts.single { it.first == "job/job-1" }
+        val done =
+            scheduler.round(Instant(now)) { true }.filterIsInstance<Effect.Write>().single().change.puts.single {
+                it.first ==
+                    "job/job-1"
+            }
+
         // As it comes back from the state service.
         @Suppress("UNCHECKED_CAST")
         val record = JobRecord.of(Pack.decode(Pack.encode(done.second)) as Map<String, Any?>)
@@ -559,11 +652,17 @@
         next.restored(Instant(now))
         val other = spec(2, "c", Urgency.STANDARD, JobShape.ARRAY, half)
         next.onJobEntry(other.ref, JobRecord(JobStage.QUEUED, other, now), Revision(401), Instant(now))
-        fun ask(id: String, beat: Long, vararg tasks: ReportedTask): List<Command> {
+
+        fun ask(
+            id: String,
+            beat: Long,
+            vararg tasks: ReportedTask,
+        ): List<Command> {
             val r = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, Position(1, beat), Term(6), null, tasks.toList())
             next.onReport(r, Instant(now))
             return next.commands(r, Instant(now), mayStart = true)
         }
+
         fun logged(): List<String> {
             now += 200
             val effects = next.round(Instant(now)) { true }
@@ -581,30 +680,52 @@
     }
 
     /** Machines that do as they are told; starts of [mistaken] jobs fail at once. */
-    private inner class Machines(count: Int, private val mistaken: Set<Int>) {
-        private val held = LinkedHashMap<String, LinkedHashMap<TaskRef, ReportedTask>>().apply { for (i in 0 until count) put("m-$i", LinkedHashMap()) }
+    private inner class Machines(
+        count: Int,
+        private val mistaken: Set<Int>,
+    ) {
+        private val held =
+            LinkedHashMap<String, LinkedHashMap<TaskRef, ReportedTask>>().apply {
+                for (i in 0 until count) put("m-$i", LinkedHashMap())
+            }
         var kills = 0
         val starts = HashMap<Int, Int>()
 
-        private fun number(task: TaskRef) = task.job.value.removePrefix("job-").toInt()
+        private fun number(task: TaskRef) =
+            task.job.value
+                .removePrefix("job-")
+                .toInt()
 
         fun running(job: Int) = held.values.sumOf { m -> m.values.count { number(it.task) == job && it.stage == TaskStage.RUNNING } }
 
-        fun turns(n: Int) = repeat(n) {
-            now += 1_000
-            for ((id, tasks) in held) for (c in report(id, *tasks.values.toTypedArray())) {
-                when (c) {
-                    is Command.Launch -> {
-                        starts.merge(number(c.task), 1, Int::plus)
-                        tasks[c.task] = if (number(c.task) in mistaken) ReportedTask(c.task, c.attempt, TaskStage.ENDED, EndCause.ERROR, false)
-                        else ReportedTask(c.task, c.attempt, TaskStage.RUNNING, null, false)
+        fun turns(n: Int) =
+            repeat(n) {
+                now += 1_000
+                for ((id, tasks) in held) {
+                    for (c in report(id, *tasks.values.toTypedArray())) {
+                        when (c) {
+                            is Command.Launch -> {
+                                starts.merge(number(c.task), 1, Int::plus)
+                                tasks[c.task] =
+                                    if (number(c.task) in mistaken) {
+                                        ReportedTask(c.task, c.attempt, TaskStage.ENDED, EndCause.ERROR, false)
+                                    } else {
+                                        ReportedTask(c.task, c.attempt, TaskStage.RUNNING, null, false)
+                                    }
+                            }
+
+                            is Command.Kill -> {
+                                if (tasks.remove(c.task) != null) kills++
+                            }
+
+                            is Command.Reap -> {
+                                tasks.remove(c.task)
+                            }
+                        }
                     }
-                    is Command.Kill -> if (tasks.remove(c.task) != null) kills++
-                    is Command.Reap -> tasks.remove(c.task)
                 }
+                round()
             }
-            round()
-        }
     }
 
     /**
--- a/src/test/kotlin/dewwing/protocol/FormatsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -2,8 +2,8 @@
 
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.LogRecord
-import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.Ranges
+import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.leadership.Cancellation
 import dewwing.control.peer.PeerAnswer
 import dewwing.control.peer.PeerCodec
@@ -24,23 +24,38 @@
 class FormatsTest {
     private fun Random.text() = buildString { repeat(nextInt(12)) { append("abcäöü/0 \"\\".random(this@text)) } }
 
-    private fun Random.value(depth: Int): Any? = when (nextInt(if (depth > 3) 5 else 7)) {
-        0 -> null
-        1 -> nextBoolean()
-        2 -> nextLong()
-        3 -> nextDouble() * 1e6
-        4 -> text()
-        5 -> List(nextInt(5)) { value(depth + 1) }
-        else -> (0 until nextInt(5)).associate { "k$it" to value(depth + 1) }
-    }
+    private fun Random.value(depth: Int): Any? =
+        when (nextInt(if (depth > 3) 5 else 7)) {
+            0 -> null
+            1 -> nextBoolean()
+            2 -> nextLong()
+            3 -> nextDouble() * 1e6
+            4 -> text()
+            5 -> List(nextInt(5)) { value(depth + 1) }
+            else -> (0 until nextInt(5)).associate { "k$it" to value(depth + 1) }
+        }
 
-    private fun Random.spec() = JobSpec(
-        JobRef("job-%06d".format(nextInt(1_000_000))), "class-${nextInt(3)}", "team-${nextInt(3)}",
-        JobShape.entries.random(this), Urgency.entries.random(this), nextInt(1, 100_001),
-        Resources(nextInt(1, 64).toDouble(), nextInt(4).toDouble(), nextDouble() * 100), "img", nextDouble() * 10,
-        if (nextBoolean()) null else listOf("k", "l"), if (nextBoolean()) null else "z", nextBoolean(), nextBoolean(),
-        nextBoolean(), nextDouble() * 100, nextDouble() * 10, nextDouble(), if (nextBoolean()) null else nextDouble(),
-    )
+    private fun Random.spec() =
+        JobSpec(
+            JobRef("job-%06d".format(nextInt(1_000_000))),
+            "class-${nextInt(3)}",
+            "team-${nextInt(3)}",
+            JobShape.entries.random(this),
+            Urgency.entries.random(this),
+            nextInt(1, 100_001),
+            Resources(nextInt(1, 64).toDouble(), nextInt(4).toDouble(), nextDouble() * 100),
+            "img",
+            nextDouble() * 10,
+            if (nextBoolean()) null else listOf("k", "l"),
+            if (nextBoolean()) null else "z",
+            nextBoolean(),
+            nextBoolean(),
+            nextBoolean(),
+            nextDouble() * 100,
+            nextDouble() * 10,
+            nextDouble(),
+            if (nextBoolean()) null else nextDouble(),
+        )
 
     @Test
     fun `values survive MessagePack`() {
@@ -55,12 +70,18 @@
     fun `garbage and cut messages are refused, never anything else`() {
         val random = Random(2)
         repeat(3_000) {
-            val bytes = if (random.nextBoolean()) {
-                random.nextBytes(random.nextInt(1, 60))
-            } else {
-                val whole = Pack.encode(mapOf("a" to random.value(0), "drops" to listOf(random.value(0))))
-                whole.copyOf(random.nextInt(1, whole.size + 1)).also { if (random.nextBoolean()) it[random.nextInt(it.size)] = random.nextInt().toByte() }
-            }
+            val bytes =
+                if (random.nextBoolean()) {
+                    random.nextBytes(random.nextInt(1, 60))
+                } else {
+                    val whole = Pack.encode(mapOf("a" to random.value(0), "drops" to listOf(random.value(0))))
+                    whole.copyOf(random.nextInt(1, whole.size + 1)).also {
+                        if (random.nextBoolean()) {
+                            it[random.nextInt(it.size)] =
+                                random.nextInt().toByte()
+                        }
+                    }
+                }
             try {
                 val f = Pack.decodeMap(bytes)
                 Wire.report(f)
@@ -105,11 +126,22 @@
             val e = assertThrows(MalformedException::class.java) { Wire.jobSpec(Fields(good - name)) }
             assertTrue(e.message.orEmpty().contains(name), e.message)
         }
-        val bad = mapOf(
-            "cores" to -1.0, "memoryGb" to Double.NaN, "accelerators" to "4", "drops" to 0L, "urgency" to "urgent",
-            "shape" to "gang", "ref" to "JOB-1", "together" to 1L, "perchKinds" to emptyList<String>(),
-            "expectS" to Double.POSITIVE_INFINITY, "flock" to "", "dueS" to -3.0, "meadow" to 3L,
-        )
+        val bad =
+            mapOf(
+                "cores" to -1.0,
+                "memoryGb" to Double.NaN,
+                "accelerators" to "4",
+                "drops" to 0L,
+                "urgency" to "urgent",
+                "shape" to "gang",
+                "ref" to "JOB-1",
+                "together" to 1L,
+                "perchKinds" to emptyList<String>(),
+                "expectS" to Double.POSITIVE_INFINITY,
+                "flock" to "",
+                "dueS" to -3.0,
+                "meadow" to 3L,
+            )
         for ((name, value) in bad) {
             val e = assertThrows(MalformedException::class.java) { Wire.jobSpec(Fields(good + (name to value))) }
             assertTrue(e.message.orEmpty().contains(name), "$name: ${e.message}")
@@ -149,6 +181,7 @@
             val set = BitSet()
             repeat(random.nextInt(60)) { set.set(random.nextInt(400)) }
             val record = LogRecord(listOf(LogRecord.Placed(MachineId("m-1"), set)), set)
+
             @Suppress("UNCHECKED_CAST")
             val back = LogRecord.of(Pack.decode(Pack.encode(record.toValue())) as Map<String, Any?>)
             assertEquals(set, back.placed[0].tasks)
--- a/src/test/kotlin/dewwing/protocol/SettingsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/SettingsTest.kt
@@ -7,7 +7,8 @@
 import org.junit.jupiter.api.Test
 
 class SettingsTest {
-    private val good = """
+    private val good =
+        """
         {"node_name":"n0","serve_on":"10.0.0.1:80","peer_listen":"10.0.0.1:81","unknown":[1],
          "siblings":[{"node_name":"n1","endpoint":"10.0.0.2:81"}],
          "endpoints":{"cloud":"10.0.1.1:1","state":"10.0.1.2:2"},
@@ -16,7 +17,7 @@
           "workers":{"report_s":2.0,"lease_s":10.0,"gang_wait_s":50.0,"gang_peer_s":6.0,"cancel_s":30.0},
           "state":{"rps":200.0,"write_rps":25.0,"value_kb":8.0,"txn_ops":8},
           "cloud":{"rps":4.0,"list_lag_s":10.0},"machine_limits":{"sockets":1200}}}
-    """.trimIndent()
+        """.trimIndent()
 
     @Test
     fun `a good file is read, unknown fields and objectives are passed over, 0 is no cap`() {
@@ -31,16 +32,17 @@
 
     @Test
     fun `a bad file is refused and the field named`() {
-        val cases = mapOf(
-            "node_name" to good.replace("\"n0\"", "7"),
-            "serve_on" to good.replace("10.0.0.1:80\"", "10.0.0.1\""),
-            "facts.workers.lease_s" to good.replace("\"lease_s\":10.0", "\"lease_s\":-1"),
-            "facts.workers.cancel_s" to good.replace("\"cancel_s\":30.0", "\"cancel\":30.0"),
-            "facts.state.txn_ops" to good.replace("\"txn_ops\":8", "\"txn_ops\":\"8\""),
-            "endpoints.state" to good.replace("10.0.1.2:2", "10.0.1.2:99999"),
-            "facts.teams[0].gpus_max" to good.replace("\"gpus_max\":8.0", "\"gpus_max\":-8.0"),
-            "siblings" to good.replace("\"siblings\":[{", "\"sibling\":[{"),
-        )
+        val cases =
+            mapOf(
+                "node_name" to good.replace("\"n0\"", "7"),
+                "serve_on" to good.replace("10.0.0.1:80\"", "10.0.0.1\""),
+                "facts.workers.lease_s" to good.replace("\"lease_s\":10.0", "\"lease_s\":-1"),
+                "facts.workers.cancel_s" to good.replace("\"cancel_s\":30.0", "\"cancel\":30.0"),
+                "facts.state.txn_ops" to good.replace("\"txn_ops\":8", "\"txn_ops\":\"8\""),
+                "endpoints.state" to good.replace("10.0.1.2:2", "10.0.1.2:99999"),
+                "facts.teams[0].gpus_max" to good.replace("\"gpus_max\":8.0", "\"gpus_max\":-8.0"),
+                "siblings" to good.replace("\"siblings\":[{", "\"sibling\":[{"),
+            )
         for ((field, text) in cases) {
             val e = assertThrows(BadSettingsException::class.java) { Settings.parse(text) }
             assertTrue(e.message.orEmpty().contains(field), "$field: ${e.message}")
--- a/src/test/kotlin/dewwing/world/HistoriesTest.kt
+++ b/src/test/kotlin/dewwing/world/HistoriesTest.kt
@@ -8,7 +8,19 @@
 class HistoriesTest {
     @Test
     fun `a quiet history ends with every job final and the logs collected`() {
-        val quiet = Trouble(Long.MAX_VALUE / 64, 0.0, 0.0, Long.MAX_VALUE / 16, Long.MAX_VALUE / 16, Long.MAX_VALUE / 16, 0.0, Long.MAX_VALUE / 16, 0.0, Long.MAX_VALUE / 16)
+        val quiet =
+            Trouble(
+                Long.MAX_VALUE / 64,
+                0.0,
+                0.0,
+                Long.MAX_VALUE / 16,
+                Long.MAX_VALUE / 16,
+                Long.MAX_VALUE / 16,
+                0.0,
+                Long.MAX_VALUE / 16,
+                0.0,
+                Long.MAX_VALUE / 16,
+            )
         val world = World(1, quiet)
         assertEquals(emptyList<Any>(), world.play(30, 120_000))
         assertEquals(emptyList<String>(), world.rules.broken)
@@ -50,10 +62,19 @@
     @Test
     fun `hundreds of machines cut, hung or dead at once while controllers restart break no rule and lose no job`() {
         for (seed in 300L..303L) {
-            val trouble = Trouble(
-                crashEveryMs = 20_000, cutEveryMs = 4_000, hangEveryMs = 8_000, takeEveryMs = 10_000, errorShare = 0.002,
-                lateCopy = 0.2, backMs = 1, massEveryMs = 30_000, rollEveryMs = 45_000, rebuildMs = 8_000,
-            )
+            val trouble =
+                Trouble(
+                    crashEveryMs = 20_000,
+                    cutEveryMs = 4_000,
+                    hangEveryMs = 8_000,
+                    takeEveryMs = 10_000,
+                    errorShare = 0.002,
+                    lateCopy = 0.2,
+                    backMs = 1,
+                    massEveryMs = 30_000,
+                    rollEveryMs = 45_000,
+                    rebuildMs = 8_000,
+                )
             val world = World(seed, trouble, cap = 1_200.0, largest = 60)
             val open = world.play(160, 150_000)
             assertTrue(world.most >= 150, "seed $seed: only ${world.most} machines")
@@ -63,12 +84,18 @@
         }
     }
 
-    private fun caught(tamper: World.Tamper, rule: String, trouble: Trouble = Trouble(crashEveryMs = 6_000), seeds: Long = 12) {
-        val found = (1L..seeds).any { seed ->
-            val world = World(seed, trouble, tamper)
-            world.play(40, 150_000)
-            world.rules.broken.any { it.startsWith(rule) }
-        }
+    private fun caught(
+        tamper: World.Tamper,
+        rule: String,
+        trouble: Trouble = Trouble(crashEveryMs = 6_000),
+        seeds: Long = 12,
+    ) {
+        val found =
+            (1L..seeds).any { seed ->
+                val world = World(seed, trouble, tamper)
+                world.play(40, 150_000)
+                world.rules.broken.any { it.startsWith(rule) }
+            }
         assertTrue(found, "$tamper was not caught as $rule")
     }
 
@@ -112,10 +139,27 @@
         val rules = Rules(emptyMap(), 1_000)
         rules.tells(dewwing.protocol.JobRef("job-1"), dewwing.protocol.JobStage.QUEUED)
         assertTrue(rules.broken.single().startsWith("invented"))
-        val spec = dewwing.protocol.JobSpec(
-            dewwing.protocol.JobRef("job-1"), "c", "t", dewwing.protocol.JobShape.ARRAY, dewwing.protocol.Urgency.LOW, 1,
-            dewwing.protocol.Resources.NONE, "i", 0.0, null, null, false, false, true, 1.0, 0.0, 0.0, null,
-        )
+        val spec =
+            dewwing.protocol.JobSpec(
+                dewwing.protocol.JobRef("job-1"),
+                "c",
+                "t",
+                dewwing.protocol.JobShape.ARRAY,
+                dewwing.protocol.Urgency.LOW,
+                1,
+                dewwing.protocol.Resources.NONE,
+                "i",
+                0.0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                1.0,
+                0.0,
+                0.0,
+                null,
+            )
         rules.accepted(spec, 0)
         rules.tells(spec.ref, null)
         assertTrue(rules.broken.last().startsWith("forgotten"))
--- a/src/test/kotlin/dewwing/world/MeetingsTest.kt
+++ b/src/test/kotlin/dewwing/world/MeetingsTest.kt
@@ -12,13 +12,28 @@
  * two of them do. What [HistoriesTest] scatters at random hardly ever comes so near.
  */
 class MeetingsTest {
-    private val little = Trouble(
-        crashEveryMs = Trouble.NEVER, loseAnswer = 0.02, lateCommit = 0.02, cutEveryMs = Trouble.NEVER, hangEveryMs = Trouble.NEVER,
-        takeEveryMs = Trouble.NEVER, errorShare = 0.005, deafEveryMs = Trouble.NEVER, lateCopy = 0.1, loneEveryMs = Trouble.NEVER,
-        backMs = 1, rebuildMs = 600,
-    )
+    private val little =
+        Trouble(
+            crashEveryMs = Trouble.NEVER,
+            loseAnswer = 0.02,
+            lateCommit = 0.02,
+            cutEveryMs = Trouble.NEVER,
+            hangEveryMs = Trouble.NEVER,
+            takeEveryMs = Trouble.NEVER,
+            errorShare = 0.005,
+            deafEveryMs = Trouble.NEVER,
+            lateCopy = 0.1,
+            loneEveryMs = Trouble.NEVER,
+            backMs = 1,
+            rebuildMs = 600,
+        )
 
-    private fun play(seed: Long, meeting: List<Met>, tamper: World.Tamper = World.Tamper.NONE, longRuns: Boolean = true): World {
+    private fun play(
+        seed: Long,
+        meeting: List<Met>,
+        tamper: World.Tamper = World.Tamper.NONE,
+        longRuns: Boolean = true,
+    ): World {
         val world = World(seed, little, tamper, cap = 40.0)
         if (longRuns) world.longRunsUntil = 90_000
         val open = world.play(30, 160_000, meeting)
@@ -30,9 +45,16 @@
     }
 
     /** The gap: [betweenMs] after the refusal everybody loses the state service, for longer than a cancellation has. */
-    private fun gap(betweenMs: Long) = listOf(
-        Met(Kind.REFUSED_ALONE, 60_000, 14_000), Met(Kind.CANCEL_NOW, 60_000 + minOf(300, betweenMs), 0), Met(Kind.OUTAGE, 60_000 + betweenMs, 54_000),
-    )
+    private fun gap(betweenMs: Long) =
+        listOf(
+            Met(Kind.REFUSED_ALONE, 60_000, 14_000),
+            Met(Kind.CANCEL_NOW, 60_000 + minOf(300, betweenMs), 0),
+            Met(
+                Kind.OUTAGE,
+                60_000 + betweenMs,
+                54_000,
+            ),
+        )
 
     @Test
     fun `jobs called off while the leader alone is refused, just before an outage, are gone in time`() {
@@ -45,20 +67,39 @@
         assertTrue(broken.any { it.startsWith("ran_cancelled") }, "$broken")
     }
 
-    private fun lasts(kind: Kind, random: Random): Long = when (kind) {
-        Kind.OUTAGE -> random.nextLong(3_000, 45_000)
-        Kind.REFUSED_ALONE, Kind.WATCH_HANGS -> random.nextLong(2_000, 30_000)
-        Kind.ROLL -> random.nextLong(1_000, 15_000)
-        else -> random.nextLong(2_000, 35_000)
-    }
+    private fun lasts(
+        kind: Kind,
+        random: Random,
+    ): Long =
+        when (kind) {
+            Kind.OUTAGE -> random.nextLong(3_000, 45_000)
+            Kind.REFUSED_ALONE, Kind.WATCH_HANGS -> random.nextLong(2_000, 30_000)
+            Kind.ROLL -> random.nextLong(1_000, 15_000)
+            else -> random.nextLong(2_000, 35_000)
+        }
 
-    private fun meeting(kinds: List<Kind>, random: Random): List<Met> =
-        kinds.map { Met(it, 60_000 + random.nextLong(-2_500, 2_500), lasts(it, random)) } + Met(Kind.CANCEL_NOW, 60_000 + random.nextLong(-3_000, 6_000), 0)
+    private fun meeting(
+        kinds: List<Kind>,
+        random: Random,
+    ): List<Met> =
+        kinds.map { Met(it, 60_000 + random.nextLong(-2_500, 2_500), lasts(it, random)) } +
+            Met(Kind.CANCEL_NOW, 60_000 + random.nextLong(-3_000, 6_000), 0)
 
     @Test
     fun `any two troubles that meet break no rule, and every job ends`() {
-        for (a in Kind.entries) for (b in Kind.entries) {
-            if (a <= b) play(500L + a.ordinal * 40 + b.ordinal, meeting(listOf(a, b), Random(a.ordinal * 40L + b.ordinal)), longRuns = (a.ordinal + b.ordinal) % 2 == 0)
+        for (a in Kind.entries) {
+            for (b in Kind.entries) {
+                if (a <=
+                    b
+                ) {
+                    play(
+                        500L + a.ordinal * 40 + b.ordinal,
+                        meeting(listOf(a, b), Random(a.ordinal * 40L + b.ordinal)),
+                        longRuns =
+                            (a.ordinal + b.ordinal) % 2 == 0,
+                    )
+                }
+            }
         }
     }
 
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -50,7 +50,10 @@
 import kotlin.random.Random
 
 /** Tells broken rules of the protocol from what really happens on machines and is said to users. */
-class Rules(private val teamCaps: Map<String, Double>, private val cancelMs: Long) {
+class Rules(
+    private val teamCaps: Map<String, Double>,
+    private val cancelMs: Long,
+) {
     val broken = ArrayList<String>()
     private val onMachine = HashMap<TaskRef, MachineId>()
     private val specs = HashMap<JobRef, JobSpec>()
@@ -59,12 +62,22 @@
     private val told = HashMap<JobRef, JobStage>()
     private val completed = HashMap<JobRef, MutableSet<Int>>()
 
-    fun accepted(spec: JobSpec, now: Long) {
+    fun accepted(
+        spec: JobSpec,
+        now: Long,
+    ) {
         specs[spec.ref] = spec
         acceptedAt[spec.ref] = now
     }
 
-    fun starts(task: TaskRef, machine: MachineId, type: String, zone: String, spot: Boolean, now: Long) {
+    fun starts(
+        task: TaskRef,
+        machine: MachineId,
+        type: String,
+        zone: String,
+        spot: Boolean,
+        now: Long,
+    ) {
         val spec = specs[task.job]
         if (spec == null) {
             broken.add("invented: $task starts")
@@ -75,7 +88,7 @@
         val sum = (use[spec.team] ?: 0.0) + spec.need.cores
         use[spec.team] = sum
         if (sum > (teamCaps[spec.team] ?: 1e9) + 1e-6) broken.add("quota: ${spec.team} uses $sum at $now")
-        if (spec.types != null && type !in spec.types || spec.zone != null && spec.zone != zone || spot && !spec.spot) {
+        if ((spec.types != null && type !in spec.types) || (spec.zone != null && spec.zone != zone) || (spot && !spec.spot)) {
             broken.add("wrong_place: $task on $type $zone at $now")
         }
         if (spec.oneZone && onMachine.keys.any { it.job == task.job && zones[onMachine[it]] != zone }) {
@@ -86,7 +99,10 @@
 
     val zones = HashMap<MachineId, String>()
 
-    fun leaves(task: TaskRef, machine: MachineId) {
+    fun leaves(
+        task: TaskRef,
+        machine: MachineId,
+    ) {
         if (onMachine[task] != machine) return
         onMachine.remove(task)
         specs[task.job]?.let { use[it.team] = (use[it.team] ?: 0.0) - it.need.cores }
@@ -97,13 +113,22 @@
     private val answeredAt = HashMap<JobRef, Long>()
 
     /** A user asked about [job]. Once troubles are over, 75 s without any answer mean that it is forgotten. */
-    fun asked(job: JobRef, answered: Boolean, now: Long, troublesOver: Long) {
+    fun asked(
+        job: JobRef,
+        answered: Boolean,
+        now: Long,
+        troublesOver: Long,
+    ) {
         if (answered || now < troublesOver) {
             answeredAt[job] = now
             return
         }
         val since = maxOf(answeredAt[job] ?: 0L, troublesOver)
-        if (now - since >= FORGOTTEN_MS && broken.none { it.startsWith("forgotten: $job") }) broken.add("forgotten: $job unanswered since $since")
+        if (now - since >= FORGOTTEN_MS &&
+            broken.none { it.startsWith("forgotten: $job") }
+        ) {
+            broken.add("forgotten: $job unanswered since $since")
+        }
     }
 
     /**
@@ -113,7 +138,11 @@
     fun served(): List<String> {
         val out = ArrayList<String>()
         val counted = specs.values.filter { it.ref !in cancelledAt }
-        fun half(what: String, jobs: List<JobSpec>) {
+
+        fun half(
+            what: String,
+            jobs: List<JobSpec>,
+        ) {
             val done = jobs.count { (completed[it.ref]?.size ?: 0) == it.tasks }
             if (done * 2 < jobs.size) out.add("$what: $done of ${jobs.size} served")
         }
@@ -135,14 +164,21 @@
     }
 
     /** The start command was handed to a worker; the time for a watch or a word to arrive is left. */
-    fun launched(task: TaskRef, now: Long) {
+    fun launched(
+        task: TaskRef,
+        now: Long,
+    ) {
         cancelledAt[task.job]?.let { if (now > it + TOLD_MS) broken.add("started_cancelled: $task handed out ${now - it} ms after") }
     }
 
     private val roomSince = HashMap<JobRef, Long>()
 
     /** Whether a job that still waits could be placed [now]; once troubles are over it must not for 90 s. */
-    fun waits(job: JobRef, withRoom: Boolean, now: Long) {
+    fun waits(
+        job: JobRef,
+        withRoom: Boolean,
+        now: Long,
+    ) {
         if (!withRoom) {
             roomSince.remove(job)
             return
@@ -163,12 +199,18 @@
         }
     }
 
-    fun cancelTold(job: JobRef, now: Long) {
+    fun cancelTold(
+        job: JobRef,
+        now: Long,
+    ) {
         cancelledAt.putIfAbsent(job, now)
         tells(job, JobStage.ABORTED)
     }
 
-    fun tells(job: JobRef, stage: JobStage?) {
+    fun tells(
+        job: JobRef,
+        stage: JobStage?,
+    ) {
         val spec = specs[job]
         if (stage == null) {
             if (spec != null) broken.add("forgotten: $job")
@@ -196,12 +238,32 @@
 
 /** A trouble that a meeting puts at a chosen moment. */
 enum class Kind {
-    REFUSED_ALONE, OUTAGE, CANCEL_NOW, CANCEL_AT_END, LATE_WRITES, WATCH_HANGS, DEAF, MUTE, HANG, CUT, ZONE_CUT, FREEZE, CRASH,
-    ALL_CRASH, ROLL, LONE, DIE, AWAY,
+    REFUSED_ALONE,
+    OUTAGE,
+    CANCEL_NOW,
+    CANCEL_AT_END,
+    LATE_WRITES,
+    WATCH_HANGS,
+    DEAF,
+    MUTE,
+    HANG,
+    CUT,
+    ZONE_CUT,
+    FREEZE,
+    CRASH,
+    ALL_CRASH,
+    ROLL,
+    LONE,
+    DIE,
+    AWAY,
 }
 
 /** [kind] begins [atMs] into the history and lasts [forMs]. */
-data class Met(val kind: Kind, val atMs: Long, val forMs: Long)
+data class Met(
+    val kind: Kind,
+    val atMs: Long,
+    val forMs: Long,
+)
 
 /** What may go wrong, and how often. */
 data class Trouble(
@@ -249,7 +311,21 @@
     private val cap: Double = 24.0,
     private val largest: Int = 12,
 ) {
-    enum class Tamper { NONE, FORGET_INHERITED, LAPSE_AT_ONCE, IGNORE_CANCEL, NO_QUOTA, DONE_EARLY, ANY_MACHINE, NO_ANSWERS, STARVE_LARGE, LEAD_ALONE, OLD_BOOKS, DEAF_TO_WORDS, STARVE_BESIDE_ROOM }
+    enum class Tamper {
+        NONE,
+        FORGET_INHERITED,
+        LAPSE_AT_ONCE,
+        IGNORE_CANCEL,
+        NO_QUOTA,
+        DONE_EARLY,
+        ANY_MACHINE,
+        NO_ANSWERS,
+        STARVE_LARGE,
+        LEAD_ALONE,
+        OLD_BOOKS,
+        DEAF_TO_WORDS,
+        STARVE_BESIDE_ROOM,
+    }
 
     private val random = Random(seed)
     private val events = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
@@ -258,10 +334,11 @@
 
     private val team = Team("t", 0.0, cap, 0.0, null)
     private val workersTimes = WorkerTimes(Span(2_000), Span(LEASE_MS), Span(30_000), Span(6_000), Span(CANCEL_MS))
-    private val types = listOf(
-        MachineType("big", Resources(8.0, 0.0, 64.0), 10.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b")),
-        MachineType("small", Resources(2.0, 0.0, 16.0), 10.0, 1.0, 0.3, 0.1, 3.0, listOf("a", "b")),
-    )
+    private val types =
+        listOf(
+            MachineType("big", Resources(8.0, 0.0, 64.0), 10.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b")),
+            MachineType("small", Resources(2.0, 0.0, 16.0), 10.0, 1.0, 0.3, 0.1, 3.0, listOf("a", "b")),
+        )
     val rules = Rules(mapOf("t" to cap), CANCEL_MS)
 
     // ---- state service ----
@@ -299,17 +376,26 @@
         if (holdUntil > now) holdUntil = maxOf(holdUntil, outageUntil + 1)
     }
 
-    private fun starved(record: JobRecord) = (tamper == Tamper.STARVE_LARGE || tamper == Tamper.STARVE_BESIDE_ROOM) && (record.spec?.tasks ?: 0) > 8
+    private fun starved(record: JobRecord) =
+        (tamper == Tamper.STARVE_LARGE || tamper == Tamper.STARVE_BESIDE_ROOM) && (record.spec?.tasks ?: 0) > 8
 
     // ---- workers ----
-    private inner class Held(val task: TaskRef, val attempt: Step) {
+    private inner class Held(
+        val task: TaskRef,
+        val attempt: Step,
+    ) {
         var stage = TaskStage.FETCHING
         var cause: EndCause? = null
         var on = false
         var alive = true
     }
 
-    private inner class Worker(val id: MachineId, val type: MachineType, val zone: String, val spot: Boolean) {
+    private inner class Worker(
+        val id: MachineId,
+        val type: MachineType,
+        val zone: String,
+        val spot: Boolean,
+    ) {
         val held = LinkedHashMap<TaskRef, Held>()
         var session = 1L
         var seq = 0L
@@ -326,7 +412,10 @@
 
         private fun cutFrom(controller: Int) = now < zoneCutUntil && (zone == CUT_ZONE) != (controller == CUT_CONTROLLER)
 
-        fun exit(h: Held, cause: EndCause) {
+        fun exit(
+            h: Held,
+            cause: EndCause,
+        ) {
             if (h.stage == TaskStage.ENDED) return
             h.stage = TaskStage.ENDED
             h.cause = cause
@@ -361,13 +450,22 @@
                     held[c.task] = n
                     after(random.nextLong(200, 3_000)) { begin(n, spec) }
                 }
-                is Command.Kill -> if (h != null && h.attempt == c.attempt) exit(h, EndCause.STOPPED)
-                is Command.Reap -> if (h != null && h.attempt == c.attempt && h.stage == TaskStage.ENDED) held.remove(c.task)
+
+                is Command.Kill -> {
+                    if (h != null && h.attempt == c.attempt) exit(h, EndCause.STOPPED)
+                }
+
+                is Command.Reap -> {
+                    if (h != null && h.attempt == c.attempt && h.stage == TaskStage.ENDED) held.remove(c.task)
+                }
             }
         }
 
         /** Whether [h] can go on now; on a hanging machine [later] is tried when it resumes. */
-        private fun awake(h: Held, later: () -> Unit): Boolean {
+        private fun awake(
+            h: Held,
+            later: () -> Unit,
+        ): Boolean {
             if (!h.alive || h.stage == TaskStage.ENDED || gone) return false
             if (hungUntil > now) {
                 after(hungUntil - now + 1, later)
@@ -377,23 +475,51 @@
             return h.alive
         }
 
-        private fun begin(h: Held, spec: JobSpec) {
+        private fun begin(
+            h: Held,
+            spec: JobSpec,
+        ) {
             if (!awake(h) { begin(h, spec) }) return
             h.stage = TaskStage.RUNNING
             h.on = true
             rules.starts(h.task, id, type.name, zone, spot, now)
-            val run = if (h.task.job in mistaken) random.nextLong(200, 2_000) else if (now < longRunsUntil) random.nextLong(60_000, 110_000) else if (tamper == Tamper.IGNORE_CANCEL || tamper == Tamper.OLD_BOOKS || random.nextInt(12) == 0) random.nextLong(40_000, 60_000) else random.nextLong(500, 9_000)
+            val run =
+                if (h.task.job in
+                    mistaken
+                ) {
+                    random.nextLong(200, 2_000)
+                } else if (now <
+                    longRunsUntil
+                ) {
+                    random.nextLong(60_000, 110_000)
+                } else if (tamper == Tamper.IGNORE_CANCEL || tamper == Tamper.OLD_BOOKS ||
+                    random.nextInt(12) == 0
+                ) {
+                    random.nextLong(40_000, 60_000)
+                } else {
+                    random.nextLong(500, 9_000)
+                }
             after(run) { finish(h, spec) }
         }
 
-        private fun finish(h: Held, spec: JobSpec) {
+        private fun finish(
+            h: Held,
+            spec: JobSpec,
+        ) {
             if (!awake(h) { finish(h, spec) }) return
             if (h.task.job in mistaken || random.nextDouble() < trouble.errorShare) {
                 exit(h, EndCause.ERROR)
                 return
             }
             if (spec.shape == JobShape.GANG) {
-                val mates = workers.values.flatMap { w -> w.held.values.filter { it.task.job == h.task.job && it.attempt == h.attempt && it.on }.map { w to it } }
+                val mates =
+                    workers.values.flatMap { w ->
+                        w.held.values
+                            .filter {
+                                it.task.job == h.task.job && it.attempt == h.attempt &&
+                                    it.on
+                            }.map { w to it }
+                    }
                 if (mates.size < spec.tasks) {
                     exit(h, EndCause.PEERS)
                     return
@@ -424,10 +550,18 @@
             }
             checkLease()
             seq++
-            val r = Report(
-                id, "10.0.0.1:1", type.name, zone, spot, Position(session, seq), Term(crest), null,
-                held.values.map { ReportedTask(it.task, it.attempt, it.stage, it.cause, false) },
-            )
+            val r =
+                Report(
+                    id,
+                    "10.0.0.1:1",
+                    type.name,
+                    zone,
+                    spot,
+                    Position(session, seq),
+                    Term(crest),
+                    null,
+                    held.values.map { ReportedTask(it.task, it.attempt, it.stage, it.cause, false) },
+                )
             val sentAt = now
             val from = session
             if (random.nextDouble() < trouble.lateCopy) {
@@ -479,24 +613,26 @@
     private var nextMachine = 0
     private val asks = HashMap<String, List<MachineId>>()
 
-    private fun rent(o: RentOrder): List<MachineId>? = asks[o.ask] ?: run {
-        if (random.nextInt(8) == 0) return null
-        val type = types.first { it.name == o.type }
-        val ids = List(o.count) { MachineId("m-%06d".format(nextMachine++)) }
-        for (id in ids) {
-            val w = Worker(id, type, o.zone, o.spot)
-            workers[id] = w
-            rules.zones[id] = o.zone
-            after(random.nextLong(1_000, 8_000)) {
-                w.leaseFrom = now
-                w.report()
-            }
-        }
-        asks[o.ask] = ids
-        ids
-    }
+    private fun rent(o: RentOrder): List<MachineId>? =
+        asks[o.ask] ?: run {
+            if (random.nextInt(8) == 0) return null
+            val type = types.first { it.name == o.type }
+            val ids = List(o.count) { MachineId("m-%06d".format(nextMachine++)) }
+            for (id in ids) {
+                val w = Worker(id, type, o.zone, o.spot)
+                workers[id] = w
+                rules.zones[id] = o.zone
+                after(random.nextLong(1_000, 8_000)) {
+                    w.leaseFrom = now
+                    w.report()
+                }
+            }
+            asks[o.ask] = ids
+            ids
+        }
 
     // ---- controllers ----
+
     /** The hold of the state service, as the elections see it. */
     private var holder = -1
     private var holdUntil = 0L
@@ -505,7 +641,9 @@
     private var readyTerm = 0L
 
     /** One controller with its real [Leadership], words and [Scheduler]; what carries them is written from the protocol. */
-    private inner class Controller(val n: Int) {
+    private inner class Controller(
+        val n: Int,
+    ) {
         var scheduler: Scheduler? = null
         var term = 0L
         var life = 0
@@ -534,9 +672,11 @@
         private var jobsKnown: Revision? = null
         private var answeredAt = 0L
 
-        private fun leadershipOf() = Leadership(
-            LeadershipTimes.of(workersTimes, Span(HOLD_MS), Span(2_500)), (0 until CONTROLLERS).filter { it != n }.map { "$it" }.toSet(),
-        )
+        private fun leadershipOf() =
+            Leadership(
+                LeadershipTimes.of(workersTimes, Span(HOLD_MS), Span(2_500)),
+                (0 until CONTROLLERS).filter { it != n }.map { "$it" }.toSet(),
+            )
 
         private val leads get() = scheduler != null || rebuilding
         val awake get() = up && now >= frozenUntil
@@ -545,11 +685,19 @@
         fun answer(r: Report): Pair<Long, List<Command>>? {
             if (!awake) return null
             if (tamper != Tamper.LEAD_ALONE) leadership.heardTerm(r.term)
-            val authority = if (tamper == Tamper.LEAD_ALONE && leads) Authority.FULL else leadership.authority(instant(), !stateAnswers(this))
+            val authority =
+                if (tamper == Tamper.LEAD_ALONE &&
+                    leads
+                ) {
+                    Authority.FULL
+                } else {
+                    leadership.authority(instant(), !stateAnswers(this))
+                }
             if (!leads || authority == Authority.NONE) return null
-            val s = scheduler ?: return (term to emptyList<Command>()).takeIf {
-                tamper == Tamper.OLD_BOOKS || authority == Authority.FULL && leadership.mayInherit(predecessorReady)
-            }
+            val s =
+                scheduler ?: return (term to emptyList<Command>()).takeIf {
+                    tamper == Tamper.OLD_BOOKS || (authority == Authority.FULL && leadership.mayInherit(predecessorReady))
+                }
             if (tamper != Tamper.LEAD_ALONE && tamper != Tamper.DEAF_TO_WORDS && !leadership.informed(instant())) return null
             s.onReport(r, instant())
             val fresh = now - answeredAt <= 1_200 && leadership.mayStart(instant())
@@ -604,7 +752,10 @@
             knows(Revision(tide), now)
         }
 
-        private fun knows(upTo: Revision, askedAt: Long) {
+        private fun knows(
+            upTo: Revision,
+            askedAt: Long,
+        ) {
             jobsKnown = upTo
             leadership.readJobs(Instant(askedAt))
         }
@@ -648,12 +799,15 @@
             leadership.elected(Term(t), instant())
             val cap = if (tamper == Tamper.NO_QUOTA) null else cap
             val lease = if (tamper == Tamper.LAPSE_AT_ONCE) Span(2_000) else workersTimes.lease
-            val core = CoreSettings(
-                listOf(team.copy(coresMax = cap)),
-                listOf(Objective(ObjectiveKind.WAIT, "c", 10.0, 0.9)),
-                workersTimes.copy(lease = lease), StateLimits(200.0, 25.0, 4096, 8), CloudLimits(4.0, Span(3_000)),
-                if (tamper == Tamper.STARVE_BESIDE_ROOM) Tunables(idleKeep = Span(Trouble.NEVER)) else Tunables(),
-            )
+            val core =
+                CoreSettings(
+                    listOf(team.copy(coresMax = cap)),
+                    listOf(Objective(ObjectiveKind.WAIT, "c", 10.0, 0.9)),
+                    workersTimes.copy(lease = lease),
+                    StateLimits(200.0, 25.0, 4096, 8),
+                    CloudLimits(4.0, Span(3_000)),
+                    if (tamper == Tamper.STARVE_BESIDE_ROOM) Tunables(idleKeep = Span(Trouble.NEVER)) else Tunables(),
+                )
             val s = Scheduler(core, Term(t), Revision(store.getValue(Keys.TERM).second), instant(), 0)
             s.onTypes(types)
             rebuilding = true
@@ -661,7 +815,11 @@
         }
 
         /** The picture takes a while, longer with a slow state service, and waits for its answer. */
-        private fun readSoon(s: Scheduler, myLife: Int, electedAt: Instant) {
+        private fun readSoon(
+            s: Scheduler,
+            myLife: Int,
+            electedAt: Instant,
+        ) {
             after(random.nextLong(0, maxOf(trouble.rebuildMs, 20))) {
                 if (life != myLife || !rebuilding || term != s.term.value) return@after
                 if (!awake || !stateAnswers(this)) return@after readSoon(s, myLife, electedAt)
@@ -672,54 +830,98 @@
             }
         }
 
-        private fun read(s: Scheduler, at: Instant) {
+        private fun read(
+            s: Scheduler,
+            at: Instant,
+        ) {
             for ((k, v) in store) {
                 when {
                     k.startsWith(Keys.JOBS) -> {
                         val record = JobRecord.of(v.first)
                         if (starved(record)) continue
-                        val lie = if (tamper == Tamper.ANY_MACHINE) record.copy(spec = record.spec?.copy(types = null, spot = true)) else record
+                        val lie =
+                            if (tamper ==
+                                Tamper.ANY_MACHINE
+                            ) {
+                                record.copy(spec = record.spec?.copy(types = null, spot = true))
+                            } else {
+                                record
+                            }
                         Keys.jobOf(k)?.let { s.restoreJob(it, lie, Revision(v.second)) }
                     }
-                    k.startsWith(Keys.LOGS) -> if (tamper != Tamper.FORGET_INHERITED) s.restoreLog(k, LogRecord.of(decoded(v.first)))
-                    k.startsWith(Keys.RENTS) -> s.restoreRent(k, RentRecord.of(decoded(v.first)), instant())
-                    k.startsWith(Keys.RELEASES) -> s.restoreRelease(k, ReleaseRecord.of(k, decoded(v.first)))
-                    k.startsWith(Keys.FENCES) -> s.restoreFence(k)
+
+                    k.startsWith(Keys.LOGS) -> {
+                        if (tamper != Tamper.FORGET_INHERITED) s.restoreLog(k, LogRecord.of(decoded(v.first)))
+                    }
+
+                    k.startsWith(Keys.RENTS) -> {
+                        s.restoreRent(k, RentRecord.of(decoded(v.first)), instant())
+                    }
+
+                    k.startsWith(Keys.RELEASES) -> {
+                        s.restoreRelease(k, ReleaseRecord.of(k, decoded(v.first)))
+                    }
+
+                    k.startsWith(Keys.FENCES) -> {
+                        s.restoreFence(k)
+                    }
                 }
             }
             s.restored(at)
             scheduler = s
         }
 
-        private fun carryOut(e: Effect, myLife: Int) {
+        private fun carryOut(
+            e: Effect,
+            myLife: Int,
+        ) {
             val s = scheduler ?: return
+
             fun here(block: () -> Unit) = after(random.nextLong(2, 200)) { if (life == myLife && scheduler === s) block() }
             when (e) {
-                is Effect.Write -> write(s, e.change, myLife)
-                is Effect.Kill -> after(random.nextLong(1, 2_000)) {
-                    val w = workers[e.machine]
-                    if (w != null && !w.gone && w.hungUntil <= now && w.cutUntil <= now && w.deafUntil <= now && w.crest <= term && w.session == e.session &&
-                        tamper != Tamper.IGNORE_CANCEL
-                    ) {
-                        w.crest = term
-                        w.seq++
-                        e.kills.forEach(w::execute)
+                is Effect.Write -> {
+                    write(s, e.change, myLife)
+                }
+
+                is Effect.Kill -> {
+                    after(random.nextLong(1, 2_000)) {
+                        val w = workers[e.machine]
+                        if (w != null && !w.gone && w.hungUntil <= now && w.cutUntil <= now && w.deafUntil <= now && w.crest <= term &&
+                            w.session == e.session &&
+                            tamper != Tamper.IGNORE_CANCEL
+                        ) {
+                            w.crest = term
+                            w.seq++
+                            e.kills.forEach(w::execute)
+                        }
                     }
                 }
+
                 is Effect.Rent -> {
                     val got = rent(e.order)
-                    if (random.nextDouble() < trouble.loseAnswer) here { s.onRentUnknown(e.key, instant()) }
-                    else here { s.onRented(e.key, got, instant()) }
+                    if (random.nextDouble() < trouble.loseAnswer) {
+                        here { s.onRentUnknown(e.key, instant()) }
+                    } else {
+                        here { s.onRented(e.key, got, instant()) }
+                    }
                 }
+
                 is Effect.Release -> {
                     e.machines.forEach { workers[it]?.take() }
-                    if (random.nextDouble() < trouble.loseAnswer) here { s.onReleaseUnknown(e.machines, instant()) }
-                    else here { s.onReleased(e.machines, instant()) }
+                    if (random.nextDouble() < trouble.loseAnswer) {
+                        here { s.onReleaseUnknown(e.machines, instant()) }
+                    } else {
+                        here { s.onReleased(e.machines, instant()) }
+                    }
                 }
             }
         }
 
-        private fun write(s: Scheduler, change: StateChange, myLife: Int) {
+        private fun write(
+            s: Scheduler,
+            change: StateChange,
+            myLife: Int,
+        ) {
             if (life != myLife || scheduler !== s) return
             if (!awake || !stateAnswers(this)) {
                 after(300) { write(s, change, myLife) }
@@ -736,8 +938,14 @@
                         s.onUncertain()
                         after(300) { write(s, change, myLife) }
                     }
-                    failed == null -> s.onWritten(Revision(tide), instant())
-                    !s.onRefused(failed, instant()) -> resign()
+
+                    failed == null -> {
+                        s.onWritten(Revision(tide), instant())
+                    }
+
+                    !s.onRefused(failed, instant()) -> {
+                        resign()
+                    }
                 }
             }
         }
@@ -774,7 +982,11 @@
             val stage = read(ref) ?: return null
             if (stage == JobStage.ABORTED || stage == JobStage.DONE) return stage
             val (value, mark) = store.getValue(Keys.job(ref))
-            val c = StateChange(listOf(Keys.job(ref) to Revision(mark)), listOf(Keys.job(ref) to JobRecord.of(decoded(value)).copy(stage = JobStage.ABORTED).toValue()))
+            val c =
+                StateChange(
+                    listOf(Keys.job(ref) to Revision(mark)),
+                    listOf(Keys.job(ref) to JobRecord.of(decoded(value)).copy(stage = JobStage.ABORTED).toValue()),
+                )
             if (random.nextDouble() < trouble.lateCommit) {
                 after(random.nextLong(1_000, 12_000)) { commit(c) }
                 return null
@@ -784,7 +996,10 @@
             return JobStage.ABORTED
         }
 
-        private fun tellsCancelled(ref: JobRef, revision: Revision) {
+        private fun tellsCancelled(
+            ref: JobRef,
+            revision: Revision,
+        ) {
             told.note(Cancellation(ref, revision))
             scheduler?.onCancelled(ref, revision, instant())
         }
@@ -803,30 +1018,93 @@
 
     private fun meet(m: Met) {
         val until = now + m.forMs
-        fun some(share: Int) = workers.values.filter { !it.gone }.shuffled(random).let { it.take(maxOf(1, it.size / share)) }
+
+        fun some(share: Int) =
+            workers.values
+                .filter { !it.gone }
+                .shuffled(random)
+                .let { it.take(maxOf(1, it.size / share)) }
         when (m.kind) {
-            Kind.REFUSED_ALONE -> leading().refusedUntil = until
-            Kind.OUTAGE -> outage(m.forMs)
-            Kind.CANCEL_NOW -> submitted.filter { !rules.complete(it) }.shuffled(random).take(8).forEach { ref -> after(random.nextLong(0, 200)) { cancel(ref) } }
-            Kind.CANCEL_AT_END -> cancelAtEndUntil = until
-            Kind.LATE_WRITES -> lateWritesUntil = until
-            Kind.WATCH_HANGS -> leading().watchHungUntil = until
-            Kind.DEAF -> some(3).forEach { it.deafUntil = until }
-            Kind.MUTE -> some(3).forEach { it.muteUntil = until }
-            Kind.HANG -> some(3).forEach { it.hungUntil = until }
-            Kind.CUT -> some(3).forEach { it.cutUntil = until }
+            Kind.REFUSED_ALONE -> {
+                leading().refusedUntil = until
+            }
+
+            Kind.OUTAGE -> {
+                outage(m.forMs)
+            }
+
+            Kind.CANCEL_NOW -> {
+                submitted
+                    .filter {
+                        !rules.complete(
+                            it,
+                        )
+                    }.shuffled(random)
+                    .take(8)
+                    .forEach { ref -> after(random.nextLong(0, 200)) { cancel(ref) } }
+            }
+
+            Kind.CANCEL_AT_END -> {
+                cancelAtEndUntil = until
+            }
+
+            Kind.LATE_WRITES -> {
+                lateWritesUntil = until
+            }
+
+            Kind.WATCH_HANGS -> {
+                leading().watchHungUntil = until
+            }
+
+            Kind.DEAF -> {
+                some(3).forEach { it.deafUntil = until }
+            }
+
+            Kind.MUTE -> {
+                some(3).forEach { it.muteUntil = until }
+            }
+
+            Kind.HANG -> {
+                some(3).forEach { it.hungUntil = until }
+            }
+
+            Kind.CUT -> {
+                some(3).forEach { it.cutUntil = until }
+            }
+
             Kind.ZONE_CUT -> {
                 zoneCutUntil = until
                 controllers[CUT_CONTROLLER].loneUntil = until
             }
-            Kind.FREEZE -> leading().frozenUntil = until
-            Kind.CRASH -> leading().crash()
-            Kind.ALL_CRASH -> controllers.forEach { it.crash() }
-            Kind.ROLL -> controllers.forEachIndexed { i, c -> after(i * m.forMs / CONTROLLERS) { c.crash() } }
-            Kind.LONE -> leading().loneUntil = until
-            Kind.DIE -> some(4).forEach { it.take() }
+
+            Kind.FREEZE -> {
+                leading().frozenUntil = until
+            }
+
+            Kind.CRASH -> {
+                leading().crash()
+            }
+
+            Kind.ALL_CRASH -> {
+                controllers.forEach { it.crash() }
+            }
+
+            Kind.ROLL -> {
+                controllers.forEachIndexed { i, c -> after(i * m.forMs / CONTROLLERS) { c.crash() } }
+            }
+
+            Kind.LONE -> {
+                leading().loneUntil = until
+            }
+
+            Kind.DIE -> {
+                some(4).forEach { it.take() }
+            }
+
             // Longer than a lease; one is back within a moment, the others later.
-            Kind.AWAY -> controllers.forEachIndexed { i, c -> c.crash(backMs = LEASE_MS + 2_000L + i * 1_500L) }
+            Kind.AWAY -> {
+                controllers.forEachIndexed { i, c -> c.crash(backMs = LEASE_MS + 2_000L + i * 1_500L) }
+            }
         }
     }
 
@@ -853,11 +1131,16 @@
         if (rules.use(spec.team) + spec.need.cores > cap) return emptySet()
         val zones = held.mapNotNull { h -> there.firstOrNull { h in it.held.values }?.zone }.toSet()
         // A trouble that began before the last one may still hold a machine.
-        return there.filter { maxOf(it.deafUntil, it.cutUntil, it.hungUntil, it.muteUntil) <= now }.filter { w ->
-            val used = w.held.values.filter { it.stage != TaskStage.ENDED }.sumOf { specs[it.task.job]?.need?.cores ?: 0.0 }
-            (spec.types == null || w.type.name in spec.types) && (spec.zone == null || spec.zone == w.zone) && (!w.spot || spec.spot) &&
-                (!spec.oneZone || zones.isEmpty() || w.zone in zones) && w.type.size.cores - used >= spec.need.cores
-        }.mapTo(HashSet()) { it.id }
+        return there
+            .filter { maxOf(it.deafUntil, it.cutUntil, it.hungUntil, it.muteUntil) <= now }
+            .filter { w ->
+                val used =
+                    w.held.values
+                        .filter { it.stage != TaskStage.ENDED }
+                        .sumOf { specs[it.task.job]?.need?.cores ?: 0.0 }
+                (spec.types == null || w.type.name in spec.types) && (spec.zone == null || spec.zone == w.zone) && (!w.spot || spec.spot) &&
+                    (!spec.oneZone || zones.isEmpty() || w.zone in zones) && w.type.size.cores - used >= spec.need.cores
+            }.mapTo(HashSet()) { it.id }
     }
 
     /** Many of the leader's changes go unanswered and are carried out late until then. */
@@ -876,13 +1159,27 @@
 
     private fun submit(i: Int) {
         val gang = random.nextInt(4) == 0
-        val spec = JobSpec(
-            JobRef("job-%06d".format(i)), if (gang) "gangs" else "c", "t", if (gang) JobShape.GANG else JobShape.ARRAY,
-            Urgency.entries.random(random), if (gang) random.nextInt(1, 5) else random.nextInt(1, largest),
-            Resources(random.nextInt(1, 3).toDouble(), 0.0, 1.0), "i${random.nextInt(3)}", 1.0,
-            if (random.nextInt(3) == 0) listOf("big") else null, if (random.nextInt(4) == 0) "a" else null,
-            random.nextInt(3) == 0, false, random.nextBoolean(), 5.0, 0.0, 0.0, null,
-        )
+        val spec =
+            JobSpec(
+                JobRef("job-%06d".format(i)),
+                if (gang) "gangs" else "c",
+                "t",
+                if (gang) JobShape.GANG else JobShape.ARRAY,
+                Urgency.entries.random(random),
+                if (gang) random.nextInt(1, 5) else random.nextInt(1, largest),
+                Resources(random.nextInt(1, 3).toDouble(), 0.0, 1.0),
+                "i${random.nextInt(3)}",
+                1.0,
+                if (random.nextInt(3) == 0) listOf("big") else null,
+                if (random.nextInt(4) == 0) "a" else null,
+                random.nextInt(3) == 0,
+                false,
+                random.nextBoolean(),
+                5.0,
+                0.0,
+                0.0,
+                null,
+            )
         if (spec.unit.cores > cap) return
         specs[spec.ref] = spec
         rules.accepted(spec, now)
@@ -909,11 +1206,17 @@
     // ---- running ----
     private fun instant() = Instant(now)
 
-    private fun after(ms: Long, block: () -> Unit) {
+    private fun after(
+        ms: Long,
+        block: () -> Unit,
+    ) {
         events.add(now + ms to block)
     }
 
-    private fun every(ms: Long, block: () -> Unit) {
+    private fun every(
+        ms: Long,
+        block: () -> Unit,
+    ) {
         after(random.nextLong(ms / 2, ms * 3 / 2)) {
             block()
             every(ms, block)
@@ -930,7 +1233,11 @@
     }
 
     /** Plays a history of jobs and troubles, then lets everything settle; returns the jobs that are not final. */
-    fun play(jobs: Int, lengthMs: Long, meeting: List<Met> = emptyList()): List<JobRef> {
+    fun play(
+        jobs: Int,
+        lengthMs: Long,
+        meeting: List<Met> = emptyList(),
+    ): List<JobRef> {
         for (m in meeting) after(m.atMs) { meet(m) }
         controllers.forEach { c ->
             after(random.nextLong(0, 500)) {
@@ -941,6 +1248,7 @@
         }
         for (i in 0 until jobs) after(random.nextLong(0, lengthMs / 2)) { submit(i) }
         var troubled = true
+
         fun up() = workers.values.filter { !it.gone }
         every(trouble.crashEveryMs) { if (troubled) controllers.random(random).crash() }
         every(trouble.crashEveryMs * 4) { if (troubled) controllers.forEach { it.crash() } }
@@ -971,9 +1279,10 @@
             if (!troubled) for (ref in submitted) rules.waits(ref, waitsWithRoom(ref), now)
         }
         every(4_000) {
-            val list = workers.values.filter { !it.gone }.map {
-                ListedMachine(it.id, it.type.name, it.zone, it.spot, ListedStage.RUNNING, 10.0)
-            }
+            val list =
+                workers.values.filter { !it.gone }.map {
+                    ListedMachine(it.id, it.type.name, it.zone, it.spot, ListedStage.RUNNING, 10.0)
+                }
             after(3_000) { controllers.forEach { it.scheduler?.onList(list, instant()) } }
         }
         every(5_000) {
@@ -981,8 +1290,11 @@
             for (ref in submitted) {
                 val stage = if (tamper == Tamper.NO_ANSWERS) null else asked.read(ref)
                 rules.asked(ref, stage != null, now, if (troubled) Long.MAX_VALUE else lengthMs)
-                if (stage == JobStage.ABORTED) rules.cancelTold(ref, now)
-                else if (stage != null) rules.tells(ref, stage)
+                if (stage == JobStage.ABORTED) {
+                    rules.cancelTold(ref, now)
+                } else if (stage != null) {
+                    rules.tells(ref, stage)
+                }
             }
         }
         advance(lengthMs)
