A leader that no worker reaches hands over before workers turn elsewhere

Cause: the leader waited for a sibling's word that workers turn up there. They do so 4 s and a second's pause after a report and are sent back to the leader still known; no lease of 10 s has time for a second try. Now it hands over when no worker has reported for 1.25 report intervals and 0.75 s, if a sibling is heard at all. Heartbeats no longer carry what siblings saw.

The line of the test that expected no hand-over while no sibling sees the workers was wrong for that reason. It is replaced: hand-over within the same 13 ticks, before any worker turns elsewhere for report intervals up to 2 s, never by a leader that has heard fewer than three machines.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -88,7 +88,6 @@
     private val workers = WorkerClient(selector) { call, outcome -> metrics.called("worker", call, outcome) }
     private val peers = settings.siblings.associate { it.name to PeerClient(selector, it.endpoint) }
     private val words = HashMap<String, SiblingWord>()
-    private val workersAt = HashMap<String, Boolean>()
     private val leadership =
         Leadership(
             LeadershipTimes
@@ -108,9 +107,6 @@
     /** When the state service itself last named the leader to this controller. */
     private var leaderReadAt = Instant.NEVER
 
-    /** When a worker last reported here while another controller led, or nobody. */
-    private var turnedAwayAt = Instant.NEVER
-
     /** Until then somebody whom the workers can reach is to lead. */
     private var standBackUntil = Instant.NEVER
     private var leading: Leader? = null
@@ -235,10 +231,15 @@
     /** A start logged before its job was cancelled elsewhere must not go out once that could be seen no more. */
     private fun seesCancellations() = now() - state.lastAnswered <= START_FRESH && leadership.mayStart(now())
 
-    private fun elsewhere(): HttpAnswer {
-        turnedAwayAt = now()
-        return HttpAnswer.of(421, Wire.redirect(leaderName?.takeIf { it != settings.node && now() - leaderSeenAt < LEADER_FRESH }))
-    }
+    private fun elsewhere(): HttpAnswer =
+        HttpAnswer.of(
+            421,
+            Wire.redirect(
+                leaderName?.takeIf {
+                    it != settings.node && now() - leaderSeenAt < LEADER_FRESH
+                },
+            ),
+        )
 
     private fun sawLeader(name: String?) {
         leaderName = name
@@ -253,7 +254,6 @@
             reachesState = !state.failing && state.lastAnswered > Instant.NEVER,
             highestTerm = leadership.highestTerm,
             leader = leaderName?.takeIf { sure } ?: "",
-            workersHere = now() - turnedAwayAt < TURNED_AWAY,
             incarnation = incarnation,
         )
     }
@@ -290,7 +290,6 @@
         val tellsAll = answer.cancellations != null && askedAs === leading
         val word = SiblingWord(sent, said.reachesState, said.highestTerm, said.incarnation, tellsAll)
         words[name] = word
-        workersAt[name] = said.workersHere
         leadership.heard(name, word, now())
         hearLeader(said)
     }
@@ -535,7 +534,6 @@
                 knownTypes = { types },
                 onTypes = ::learned,
                 hasSiblings = peers.isNotEmpty(),
-                workersElsewhere = { freshWords().any { workersAt[it] == true } },
                 siblingsHeard = { freshWords().isNotEmpty() },
             )
         leading = leader
@@ -573,7 +571,6 @@
 
         /** The hold is renewed oftener than this, so silence for so long is one. */
         private val START_FRESH = Span(1_200)
-        private val TURNED_AWAY = Span(2_500)
         private val STAND_BACK = Span(10_000)
         private const val TERM_READ_MS = 1_000L
         private const val ELECTION_POLL_MS = 400L
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -59,8 +59,6 @@
     private val onTypes: (List<MachineType>) -> Unit,
     /** There are siblings to hand over to. */
     private val hasSiblings: Boolean,
-    /** Some sibling lately turned workers away. */
-    private val workersElsewhere: () -> Boolean,
     /** Words of siblings arrive at all. */
     private val siblingsHeard: () -> Boolean,
 ) {
@@ -164,7 +162,7 @@
         while (true) {
             delay(WorkerWatch.TICK.ms)
             val s = scheduler ?: continue
-            if (!watch.tick(s.reportingMachines(), siblingsHeard(), workersElsewhere())) continue
+            if (!watch.tick(s.reportingMachines(), siblingsHeard())) continue
             lostWorkers = true
             end("no worker reaches this controller")
             return
--- a/src/main/kotlin/dewwing/control/core/leadership/WorkerWatch.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/WorkerWatch.kt
@@ -3,11 +3,14 @@
 import dewwing.protocol.Span
 
 /**
- * Whether the workers have lost this leader while others can still be reached by them.
+ * Whether the workers have lost this leader.
  *
  * Such a leader would renew its hold on the state service for ever while every worker's lease lapses. It hands over
- * when no worker has reported for a little over a report's interval and a sibling says that workers turn up there; with
- * no word of any sibling it waits for a good part of a lease, since its own network may be what is wrong.
+ * when no worker has reported for a little over a report's interval while a sibling is heard. Waiting until a sibling
+ * has seen the workers would be too late: they turn to one only after the time that they wait for an answer, are sent
+ * back here, and have no time left for a second try (incident inc-741b). Where the workers are what is wrong, handing
+ * over costs nothing, and a new leader that has heard no worker does not do it again. With no sibling heard it waits
+ * for a good part of a lease, since its own network may be cut altogether.
  *
  * Ticks are counted, not time: a process that was stalled first reads what has come in meanwhile.
  */
@@ -27,11 +30,9 @@
     fun tick(
         machines: Int,
         siblingsHeard: Boolean,
-        workersElsewhere: Boolean,
     ): Boolean {
         quiet++
-        if (machines < LEAST_MACHINES || quiet < near) return false
-        return if (siblingsHeard) workersElsewhere else quiet >= far
+        return machines >= LEAST_MACHINES && quiet >= if (siblingsHeard) near else far
     }
 
     companion object {
--- a/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
+++ b/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
@@ -36,13 +36,12 @@
 
 /**
  * [leader] is told only by who leads or has just read it from the state service, so that no two controllers keep an
- * old name alive between them. [workersHere] says that workers lately reported to a controller that does not lead.
+ * old name alive between them.
  */
 data class PeerWord(
     val reachesState: Boolean,
     val highestTerm: Term,
     val leader: String,
-    val workersHere: Boolean,
     val incarnation: Incarnation,
 )
 
@@ -162,12 +161,10 @@
         writeByte(if (w.reachesState) 1 else 0)
         writeLong(w.highestTerm.value)
         text(w.leader)
-        writeByte(if (w.workersHere) 1 else 0)
         writeLong(w.incarnation.value)
     }
 
-    private fun Buffer.word() =
-        PeerWord(readByte().toInt() != 0, Term(readLong()), text(), readByte().toInt() != 0, Incarnation(readLong()))
+    private fun Buffer.word() = PeerWord(readByte().toInt() != 0, Term(readLong()), text(), Incarnation(readLong()))
 
     private fun Buffer.cancellations(list: List<Cancellation>?) {
         writeInt(list?.size ?: NONE.toInt())
--- a/src/test/kotlin/dewwing/control/core/CoreTest.kt
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -234,27 +234,34 @@
         assertEquals(emptyList<Cancellation>(), told.since(Revision(700)))
     }
 
-    /** Guards against a leader that keeps its hold while no worker reaches it (a cut from the workers alone). */
+    /**
+     * Guards the leases of workers that only the leader cannot hear: they turn elsewhere 4 s and a second's pause after a
+     * report, so that somebody else has to lead by then, and must not be sent back.
+     */
     @Test
-    fun `a leader whose workers turn up elsewhere hands over, one that only they have left alone does not`() {
+    fun `a leader that no worker reaches hands over before they turn elsewhere, one that few have left does not`() {
         fun ticksUntil(
             machines: Int,
             siblings: Boolean,
-            elsewhere: Boolean,
+            report: Span = Span(2_000),
             reportEvery: Int = 0,
         ): Int? {
-            val watch = WorkerWatch(Span(2_000), Span(10_000))
+            val watch = WorkerWatch(report, Span(10_000))
             for (n in 1..100) {
                 if (reportEvery > 0 && n % reportEvery == 0) watch.heardWorker()
-                if (watch.tick(machines, siblings, elsewhere)) return n
+                if (watch.tick(machines, siblings)) return n
             }
             return null
         }
-        assertEquals(13, ticksUntil(machines = 20, siblings = true, elsewhere = true))
-        assertEquals(null, ticksUntil(machines = 20, siblings = true, elsewhere = false))
-        assertEquals(26, ticksUntil(machines = 20, siblings = false, elsewhere = false))
-        assertEquals(null, ticksUntil(machines = 2, siblings = true, elsewhere = true))
-        assertEquals(null, ticksUntil(machines = 20, siblings = true, elsewhere = true, reportEvery = 8))
+        assertEquals(13, ticksUntil(machines = 20, siblings = true))
+        assertEquals(26, ticksUntil(machines = 20, siblings = false))
+        assertEquals(null, ticksUntil(machines = 2, siblings = true))
+        assertEquals(null, ticksUntil(machines = 0, siblings = true), "a new leader that has heard nobody")
+        assertEquals(null, ticksUntil(machines = 20, siblings = true, reportEvery = 8))
+        for (reportMs in 1_000L..2_000L step 250) {
+            val handsOverAt = ticksUntil(machines = 20, siblings = true, report = Span(reportMs))
+            assertTrue(handsOverAt != null && handsOverAt * WorkerWatch.TICK.ms < 4_000, "$reportMs: $handsOverAt")
+        }
     }
 
     @Test
--- a/src/test/kotlin/dewwing/protocol/FormatsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -204,7 +204,7 @@
 
     @Test
     fun `messages between controllers survive their frames, and garbage is an IOException`() {
-        val word = PeerWord(true, Term(7), "n-1", true, Incarnation(-5))
+        val word = PeerWord(true, Term(7), "n-1", Incarnation(-5))
         for (known in listOf(null, Revision(0), Revision(412))) {
             val asked = PeerRequest.Word("n-0", word, known)
             assertEquals(asked, PeerCodec.decodeRequest(PeerCodec.encode(asked)))
