Questions share requests, and a controller may exceed its part of intake

- Questions that wait at one moment are proven current by one comparing transaction of up to four times txn_ops conditions.
Only new and changed jobs are read one by one; every answer rests on a request sent after the question.
Submissions and cancellations have room of their own.
A 429 of the state service is told as 429 and not relayed.
- A relay takes 1.8 s altogether and 0.9 s a sibling, before 1.8 s each; a leader that did not answer is not asked for display counts for a second.
A sibling that has stopped without ending keeps nobody waiting longer.

--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -3,8 +3,8 @@
 import com.github.benmanes.caffeine.cache.Cache
 import com.github.benmanes.caffeine.cache.Caffeine
 import dewwing.control.core.JobCounts
+import dewwing.control.core.SharedRate
 import dewwing.control.core.StateChange
-import dewwing.control.core.TokenBucket
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.placement.Placer
@@ -23,9 +23,7 @@
 import dewwing.protocol.MalformedException
 import dewwing.protocol.Pack
 import dewwing.protocol.Revision
-import dewwing.protocol.Span
 import dewwing.protocol.Wire
-import kotlinx.coroutines.delay
 
 /** What the user API needs of the controller round it. */
 interface ApiHost {
@@ -34,9 +32,6 @@
     /** The state service refuses or does not answer this controller, while a sibling says that it reaches it. */
     val cutOffAlone: Boolean
 
-    /** What a query takes of this controller's request rate; more on the leader, which needs the rest itself. */
-    val queryCost: Double
-
     /** Asks a sibling that reaches the state service; null when none can be had. */
     suspend fun relay(request: HttpRequest): HttpAnswer?
 
@@ -62,18 +57,25 @@
     private val state: StateClient,
     private val quota: Quota,
     private val host: ApiHost,
-    private val changes: TokenBucket,
+    private val changes: SharedRate,
     /** Kept apart from the leader's requests: a crowd of users must not cost it its hold. */
-    private val requests: TokenBucket,
+    queryRate: QueryRate,
+    /** Conditions that one transaction of the state service may have. */
+    maxConditions: Int,
     private val maxValueBytes: Int,
 ) {
+    private val reader = JobReader(state, queryRate, maxConditions, host::now, ::recordRead)
     private val finals: Cache<String, JobStage> =
         Caffeine
             .newBuilder()
             .maximumSize(FINALS_KEPT)
             .executor(Runnable::run)
             .build()
-    private var inFlight = 0
+    private var queriesInFlight = 0
+    private var changesInFlight = 0
+
+    /** Serves queries until cancelled. */
+    suspend fun run(): Unit = reader.run()
 
     suspend fun handle(
         request: HttpRequest,
@@ -82,59 +84,84 @@
         val path = request.path
         if (path == Wire.JOBS) {
             if (request.method != "POST") return notAllowed("POST")
-            return guarded(request, relayed) { submit(request.body) }
+            return guardedChange(request, relayed) { submit(request.body) }
         }
         val rest = path.removePrefix(Wire.JOBS + "/")
         if (rest == path) return HttpAnswer.error(404, "no such path")
         if (rest.endsWith(CANCEL)) {
             val ref = JobRef.parse(rest.removeSuffix(CANCEL)) ?: return HttpAnswer.error(404, "no such job")
             if (request.method != "POST") return notAllowed("POST")
-            return guarded(request, relayed) { cancel(ref) }
+            return guardedChange(request, relayed) { cancel(ref) }
         }
         if ('/' in rest) return HttpAnswer.error(404, "no such path")
         val ref = JobRef.parse(rest) ?: return HttpAnswer.error(404, "no such job")
         if (request.method != "GET") return notAllowed("GET")
         finals.getIfPresent(ref.value)?.let { return HttpAnswer.of(200, Wire.queryAnswer(ref, it, 0, 0)) }
-        return guarded(request, relayed) { query(ref) }
+        return guardedQuery(request, relayed) { query(ref) }
     }
 
     private fun notAllowed(method: String) = HttpAnswer(405, Pack.encode(Wire.error("use $method")), allow = method)
 
-    /** Bounds what waits for the state service, and turns to a sibling when only this controller is refused by it. */
-    private suspend fun guarded(
+    /** Submissions and cancellations have room of their own, whatever the number of queries. */
+    private suspend fun guardedChange(
         request: HttpRequest,
         relayed: Boolean,
         block: suspend () -> HttpAnswer,
     ): HttpAnswer {
-        if (inFlight >= MAX_IN_FLIGHT) return HttpAnswer.error(503, "busy", RETRY_S)
-        inFlight++
+        if (changesInFlight >= MAX_CHANGES_IN_FLIGHT) return busy()
+        changesInFlight++
         try {
-            // Trying what has just failed would cost the user its timeout first.
-            if (!relayed && host.cutOffAlone) host.relay(request)?.let { return it }
-            // Nobody else to ask, and waiting once more for what does not answer would only cost the user time.
-            if (state.givenUp) return HttpAnswer.error(503, "the state service cannot be reached", RETRY_S)
-            return block()
-        } catch (e: StateUnavailableException) {
-            val other = if (relayed) null else host.relay(request)
-            return other ?: HttpAnswer.error(503, "the state service cannot be reached", RETRY_S)
+            return orRelayed(request, relayed, block)
         } finally {
-            inFlight--
+            changesInFlight--
         }
     }
 
-    /**
-     * Waits a moment for the request rate; a query that would wait longer is told to come back. Submissions and
-     * cancellations have the rate of changes, and must not be refused for the many who only ask.
-     */
-    private suspend fun admitted(): Boolean {
-        val cost = host.queryCost
-        if (requests.tryTake(host.now(), cost)) return true
-        val wait = requests.untilAvailable(host.now(), cost)
-        if (wait > MAX_ADMISSION_WAIT) return false
-        delay(wait.ms.coerceAtLeast(1))
-        return requests.tryTake(host.now(), cost)
+    private suspend fun guardedQuery(
+        request: HttpRequest,
+        relayed: Boolean,
+        block: suspend () -> HttpAnswer,
+    ): HttpAnswer {
+        if (queriesInFlight >= MAX_QUERIES_IN_FLIGHT) return busy()
+        queriesInFlight++
+        try {
+            return orRelayed(request, relayed, block)
+        } finally {
+            queriesInFlight--
+        }
     }
 
+    private fun tooMany() = HttpAnswer.error(429, "too many", RETRY_S)
+
+    private fun busy() = HttpAnswer.error(503, "busy", RETRY_S)
+
+    /** Turns to a sibling when only this controller is refused by the state service. */
+    private suspend fun orRelayed(
+        request: HttpRequest,
+        relayed: Boolean,
+        block: suspend () -> HttpAnswer,
+    ): HttpAnswer =
+        try {
+            // Trying what has just failed would cost the user its timeout first.
+            val other = if (!relayed && host.cutOffAlone) host.relay(request) else null
+            when {
+                other != null -> other
+
+                // Nobody else to ask, and waiting once more for what does not answer would only cost the user time.
+                state.givenUp -> unreachable()
+
+                else -> block()
+            }
+        } catch (e: StateUnavailableException) {
+            when {
+                e.rateLimited -> tooMany().also { changes.refused(host.now()) }
+                relayed -> unreachable()
+                else -> host.relay(request) ?: unreachable()
+            }
+        }
+
+    private fun unreachable() = HttpAnswer.error(503, "the state service cannot be reached", RETRY_S)
+
     private suspend fun submit(body: ByteArray): HttpAnswer {
         val fields: Fields
         try {
@@ -153,11 +180,12 @@
         }
         val never = cannotEverRun(spec)
         if (never != null) return knownOr(spec.ref, HttpAnswer.error(422, never))
-        val value = JobRecord(JobStage.QUEUED, spec, host.wallMs()).toValue()
+        val record = JobRecord(JobStage.QUEUED, spec, host.wallMs())
+        val value = record.toValue()
         if (Pack.jsonSize(value) > maxValueBytes) {
             return knownOr(spec.ref, HttpAnswer.error(400, "the description is too long"))
         }
-        if (!changes.tryTake(host.now(), 1.0)) return knownOr(spec.ref, HttpAnswer.error(429, "too many", RETRY_S))
+        if (!changes.tryTake(host.now())) return knownOr(spec.ref, tooMany())
         val change = StateChange(listOf(Keys.job(spec.ref) to Revision.ABSENT), listOf(Keys.job(spec.ref) to value))
         // Without an answer the record may exist or not: the same conditional change again tells.
         val result =
@@ -168,8 +196,14 @@
                 state.commit(change)
             }
         return when (result) {
-            is CommitResult.Applied -> HttpAnswer.of(201, Wire.jobAnswer(spec.ref, JobStage.QUEUED))
-            else -> knownOr(spec.ref, HttpAnswer.error(503, "try again", RETRY_S))
+            is CommitResult.Applied -> {
+                reader.learned(spec.ref, JobReading(record, result.revision))
+                HttpAnswer.of(201, Wire.jobAnswer(spec.ref, JobStage.QUEUED))
+            }
+
+            else -> {
+                knownOr(spec.ref, HttpAnswer.error(503, "try again", RETRY_S))
+            }
         }
     }
 
@@ -179,7 +213,7 @@
         answer: HttpAnswer,
     ): HttpAnswer {
         if (ref == null) return answer
-        val stage = read(ref)?.first?.stage ?: return answer
+        val stage = read(ref).record?.stage ?: return answer
         return HttpAnswer.of(200, Wire.jobAnswer(ref, stage))
     }
 
@@ -196,23 +230,24 @@
         type: MachineType,
     ): Boolean = Placer.typeAllowed(spec, type) && (spec.zone == null || spec.zone in type.zones)
 
-    private suspend fun read(ref: JobRef): Pair<JobRecord, Revision>? {
-        val entry = state.get(Keys.job(ref)) ?: return null
-        val record =
-            try {
-                JobRecord.of(entry.value ?: return null)
-            } catch (e: MalformedException) {
-                // The job is known, whatever happened to its record: neither 404 nor an end of this process.
-                throw StateUnavailableException("record of $ref cannot be read: ${e.message}", certainlyNot = false)
-            }
-        if (record.stage == JobStage.ABORTED) host.tellsCancelled(ref, entry.revision)
+    private suspend fun read(ref: JobRef): JobReading {
+        val reading = JobReader.readRecord(state, ref)
+        reading.record?.let { recordRead(ref, it, reading.revision) }
+        return reading
+    }
+
+    private fun recordRead(
+        ref: JobRef,
+        record: JobRecord,
+        revision: Revision,
+    ) {
+        if (record.stage == JobStage.ABORTED) host.tellsCancelled(ref, revision)
         if (record.isFinal) finals.put(ref.value, record.stage)
-        return record to entry.revision
     }
 
     private suspend fun query(ref: JobRef): HttpAnswer {
-        if (!admitted()) return HttpAnswer.error(429, "too many", RETRY_S)
-        val stage = (read(ref) ?: return HttpAnswer.error(404, "no such job")).first.stage
+        val reading = reader.read(ref) ?: return tooMany()
+        val stage = reading.record?.stage ?: return HttpAnswer.error(404, "no such job")
         if (stage == JobStage.DONE || stage == JobStage.ABORTED) {
             return HttpAnswer.of(200, Wire.queryAnswer(ref, stage, 0, 0))
         }
@@ -223,9 +258,10 @@
 
     private suspend fun cancel(ref: JobRef): HttpAnswer {
         repeat(CANCEL_TRIES) {
-            val (record, revision) = read(ref) ?: return HttpAnswer.error(404, "no such job")
+            val (found, revision) = read(ref)
+            val record = found ?: return HttpAnswer.error(404, "no such job")
             if (record.isFinal) return HttpAnswer.of(200, Wire.jobAnswer(ref, record.stage))
-            if (!changes.tryTake(host.now(), 1.0)) return HttpAnswer.error(429, "too many", RETRY_S)
+            if (!changes.tryTake(host.now())) return tooMany()
             val value = record.copy(stage = JobStage.ABORTED).toValue()
             val change = StateChange(listOf(Keys.job(ref) to revision), listOf(Keys.job(ref) to value))
             val result = state.commit(change)
@@ -242,8 +278,8 @@
         private const val CANCEL = "/cancel"
         private const val CANCEL_TRIES = 3
         private const val RETRY_S = 1
-        private val MAX_ADMISSION_WAIT = Span(300)
-        private const val MAX_IN_FLIGHT = 200
+        private const val MAX_QUERIES_IN_FLIGHT = 200
+        private const val MAX_CHANGES_IN_FLIGHT = 100
         private const val FINALS_KEPT = 20_000L
     }
 }
--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -1,10 +1,12 @@
 package dewwing.control.app
 
 import dewwing.control.api.ApiHost
+import dewwing.control.api.QueryRate
 import dewwing.control.api.UserApi
 import dewwing.control.cloud.CloudClient
 import dewwing.control.core.CoreSettings
 import dewwing.control.core.JobCounts
+import dewwing.control.core.SharedRate
 import dewwing.control.core.StateChange
 import dewwing.control.core.TokenBucket
 import dewwing.control.core.Tunables
@@ -48,6 +50,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import kotlin.random.Random
@@ -111,6 +114,9 @@
     private var standBackUntil = Instant.NEVER
     private var leading: Leader? = null
 
+    /** Until then the leader is not asked for display counts, since it has just not answered. */
+    private var noCountsUntil = Instant.NEVER
+
     override val machineTypes: Collection<MachineType> get() = types
 
     override fun now(): Instant = Instant(System.nanoTime() / 1_000_000)
@@ -124,8 +130,10 @@
                 state = state,
                 quota = Quota(settings.teams),
                 host = this,
-                changes = TokenBucket(intakePerS, maxOf(INTAKE_BURST, intakePerS)),
-                requests = TokenBucket(requestsPerS, requestsPerS),
+                changes = SharedRate(intakePerS, maxOf(INTAKE_BURST, intakePerS)),
+                queryRate =
+                    QueryRate(requestsPerS, requestsPerS) { if (leading == null) QUERY_COST else QUERY_COST_LEADING },
+                maxConditions = settings.stateLimits.opsPerCommit * Wire.CONDITIONS_PER_OP,
                 maxValueBytes = settings.stateLimits.valueBytes - VALUE_SLACK,
             )
         metrics.gauge("dewwing.term", "Highest term known") { leadership.highestTerm.value }
@@ -153,6 +161,7 @@
                     requestMs = REQUEST_MS,
                     writeMs = WRITE_MS,
                 )
+            launch { api.run() }
             launch { HttpServer(selector, settings.serveOn, limits, handler = ::serve).run() }
             launch { PeerServer(selector, settings.peerListen, ::answerPeer).run() }
             for ((name, client) in peers) launch { sayWords(name, client) }
@@ -340,27 +349,29 @@
 
     private fun ableSiblings(): List<String> = freshWords().filter { words[it]?.reachesState == true }
 
-    override val queryCost: Double get() = if (leading == null) QUERY_COST else QUERY_COST_LEADING
-
     override val cutOffAlone: Boolean get() = state.failing && ableSiblings().isNotEmpty()
 
-    override suspend fun relay(request: HttpRequest): HttpAnswer? {
-        for (name in ableSiblings()) {
-            try {
-                val ask = PeerRequest.Relay(request.method, request.path, request.body)
-                val answer = peers[name]?.ask(ask, RELAY_MS)
-                if (answer is PeerAnswer.Relay) {
-                    return HttpAnswer(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
-                }
-            } catch (e: IOException) {
-                log.debug("relay by {} failed: {}", name, e.message)
-            }
+    /** Bounded as a whole: a sibling that has stopped without ending still looks able for a while. */
+    override suspend fun relay(request: HttpRequest): HttpAnswer? =
+        withTimeoutOrNull(RELAY_TOTAL_MS) { ableSiblings().firstNotNullOfOrNull { relayTo(it, request) } }
+
+    private suspend fun relayTo(
+        name: String,
+        request: HttpRequest,
+    ): HttpAnswer? {
+        try {
+            val ask = PeerRequest.Relay(request.method, request.path, request.body)
+            val answer = peers[name]?.ask(ask, RELAY_MS) as? PeerAnswer.Relay ?: return null
+            return HttpAnswer(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
+        } catch (e: IOException) {
+            log.debug("relay by {} failed: {}", name, e.message)
+            return null
         }
-        return null
     }
 
     override suspend fun counts(ref: JobRef): JobCounts? {
         leading?.scheduler?.let { return it.counts(ref) }
+        if (now() < noCountsUntil) return null
         val client = peers[leaderName ?: return null] ?: return null
         return try {
             val answer = client.ask(PeerRequest.Counts(ref.value), COUNTS_MS)
@@ -370,6 +381,8 @@
                 JobCounts(if (answer.running > 0) JobStage.RUNNING else JobStage.QUEUED, answer.done, answer.running)
             }
         } catch (e: IOException) {
+            // They are for display: no further query is to wait for a leader that has just not answered.
+            noCountsUntil = now() + COUNTS_PAUSE
             null
         }
     }
@@ -564,8 +577,12 @@
         private const val FEW_SIBLINGS = 2
         private const val WORD_TIMEOUT_MS = 1_000L
         private const val RELAY_WORD_MS = 3_000L
-        private const val RELAY_MS = 1_800L
+        private const val RELAY_MS = 900L
+
+        /** A user waits 2 s for the answer to a query. */
+        private const val RELAY_TOTAL_MS = 1_800L
         private const val COUNTS_MS = 300L
+        private val COUNTS_PAUSE = Span(1_000)
         private const val TYPES_RETRY_MS = 1_000L
         private val LEADER_FRESH = Span(3_000)
 
--- a/src/main/kotlin/dewwing/control/state/StateClient.kt
+++ b/src/main/kotlin/dewwing/control/state/StateClient.kt
@@ -19,6 +19,8 @@
 class StateUnavailableException(
     message: String,
     val certainlyNot: Boolean,
+    /** Refused for the number of requests or changes, by a service that is up. */
+    val rateLimited: Boolean = false,
 ) : IOException(message)
 
 /** What became of a conditional change. */
@@ -35,6 +37,16 @@
     data object HoldEnded : CommitResult
 }
 
+/** Whether keys still have the revisions they are thought to have. */
+sealed interface CompareResult {
+    data object Unchanged : CompareResult
+
+    /** At least these keys have changed. */
+    data class Changed(
+        val keys: List<String>,
+    ) : CompareResult
+}
+
 /** A long poll's outcome. */
 sealed interface FollowResult {
     data class Changes(
@@ -115,6 +127,16 @@
         }
     }
 
+    /** Compares the revisions of many keys in one request and changes nothing. */
+    suspend fun compare(conditions: List<Pair<String, Revision>>): CompareResult {
+        val result = call("compare", "POST", Wire.COMMIT, Pack.encode(Wire.compareBody(conditions)), READ_MS)
+        return when (result.status) {
+            200 -> CompareResult.Unchanged
+            409 -> CompareResult.Changed(decoded("compare") { Wire.failedKeys(Pack.decodeMap(result.body)) })
+            else -> throw unavailable("compare", result)
+        }
+    }
+
     suspend fun createHold(ttl: Span): HoldId {
         val result = call("hold", "POST", Wire.HOLDS, Pack.encode(Wire.holdBody(ttl)), HOLD_MS)
         if (result.status != 200) throw unavailable("hold", result)
@@ -207,8 +229,9 @@
         name: String,
         result: HttpResult,
     ): StateUnavailableException {
-        val not = result.status == 503 || result.status == 429 || result.status == 400
-        return StateUnavailableException("$name: state service answered ${result.status}", certainlyNot = not)
+        val rateLimited = result.status == 429
+        val not = rateLimited || result.status == 503 || result.status == 400
+        return StateUnavailableException("$name: state service answered ${result.status}", certainlyNot = not, rateLimited)
     }
 
     private inline fun <T> decoded(
--- a/src/main/kotlin/dewwing/protocol/Wire.kt
+++ b/src/main/kotlin/dewwing/protocol/Wire.kt
@@ -286,6 +286,15 @@
     @Suppress("UNCHECKED_CAST") // Decoded maps have text keys only; Pack refuses others.
     private fun Fields.valueMap(name: String): Map<String, Any?>? = raw[name] as? Map<String, Any?>
 
+    /** A transaction may have so many conditions for each change that it may make. */
+    const val CONDITIONS_PER_OP = 4
+
+    /** A transaction that only compares. */
+    fun compareBody(conditions: List<Pair<String, Revision>>): Map<String, Any?> = mapOf("if" to conditionList(conditions))
+
+    private fun conditionList(conditions: List<Pair<String, Revision>>) =
+        conditions.map { (key, revision) -> linkedMapOf("path" to key, "mark" to revision.value) }
+
     fun commitBody(
         conditions: List<Pair<String, Revision>>,
         puts: List<Triple<String, Map<String, Any?>, HoldId?>>,
@@ -299,7 +308,7 @@
         }
         for (key in removes) ops.add(mapOf("remove" to key))
         return linkedMapOf(
-            "if" to conditions.map { (key, rev) -> linkedMapOf("path" to key, "mark" to rev.value) },
+            "if" to conditionList(conditions),
             "apply" to ops,
         )
     }
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -1,7 +1,9 @@
 package dewwing.control.api
 
 import dewwing.control.core.JobCounts
+import dewwing.control.core.SharedRate
 import dewwing.control.core.TokenBucket
+import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.quota.Quota
 import dewwing.control.http.HttpAnswer
 import dewwing.control.http.HttpClient
@@ -12,6 +14,7 @@
 import dewwing.protocol.Endpoint
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
+import dewwing.protocol.JobStage
 import dewwing.protocol.MachineType
 import dewwing.protocol.Pack
 import dewwing.protocol.Resources
@@ -21,7 +24,10 @@
 import io.ktor.network.selector.ActorSelectorManager
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -31,45 +37,10 @@
 
 /** Submit, query and cancel against a stand-in of the state service on loopback. */
 class UserApiTest {
-    /** Keys and conditional changes, as the protocol has them; [failing] makes it answer 503. */
-    private class StandIn {
-        val values = HashMap<String, Pair<Any?, Long>>()
-        var tide = 0L
-        var failing = false
-
-        /** Carries the next change out but breaks its answer. */
-        var loseNext = false
-
-        var asked = 0
-
-        fun answer(r: HttpRequest): HttpAnswer {
-            asked++
-            if (failing) return HttpAnswer.error(503, "outage")
-            if (r.path == Wire.COMMIT) {
-                val body = Pack.decodeMap(r.body)
-                val failed = body.maps("if").filter { (values[it.text("path")]?.second ?: 0L) != it.count("mark") }
-                if (failed.isNotEmpty()) {
-                    return HttpAnswer.of(409, mapOf("failed" to failed.map { it.text("path") }, "tide" to tide))
-                }
-                tide++
-                for (op in body.maps("apply")) values[op.text("put")] = op.raw["value"] to tide
-                if (loseNext) {
-                    loseNext = false
-                    return HttpAnswer.error(500, "lost")
-                }
-                return HttpAnswer.of(200, mapOf("tide" to tide))
-            }
-            val key = r.path.removePrefix(Wire.STORE + "/")
-            val value = values[key] ?: return HttpAnswer.of(404, mapOf("tide" to tide))
-            return HttpAnswer.of(200, mapOf("path" to key, "value" to value.first, "mark" to value.second))
-        }
-    }
-
     private class Host(
         override var machineTypes: Collection<MachineType>,
     ) : ApiHost {
         override var cutOffAlone = false
-        override val queryCost = 1.0
         var relayAnswer: HttpAnswer? = null
         var relays = 0
 
@@ -127,12 +98,12 @@
 
     private fun withApi(
         requests: Double = 10_000.0,
-        block: suspend (UserApi, StandIn, Host) -> Unit,
+        block: suspend (UserApi, StateStandIn, Host) -> Unit,
     ) = runBlocking {
         val port = ServerSocket(0).use { it.localPort }
         val endpoint = Endpoint("127.0.0.1", port)
         ActorSelectorManager(Dispatchers.IO).use { selector ->
-            val standIn = StandIn()
+            val standIn = StateStandIn()
             val bound = CompletableDeferred<Unit>()
             val limits = ServerLimits(50, Wire.MAX_BODY, 5_000, 5_000, 5_000, 5_000)
             val server = launch { HttpServer(selector, endpoint, limits, { bound.complete(Unit) }, standIn::answer).run() }
@@ -142,18 +113,18 @@
             val plenty = TokenBucket(10_000.0, 10_000.0)
             val http = HttpClient(selector, endpoint, 2)
             val state = StateClient(http, http, plenty, clock) { _, _ -> }
-            block(
+            val api =
                 UserApi(
-                    state,
-                    Quota(listOf(Team("t", 0.0, 16.0, 0.0, null))),
-                    host,
-                    TokenBucket(0.001, 6.0),
-                    TokenBucket(0.001, requests),
-                    4_000,
-                ),
-                standIn,
-                host,
-            )
+                    state = state,
+                    quota = Quota(listOf(Team("t", 0.0, 16.0, 0.0, null))),
+                    host = host,
+                    changes = SharedRate(0.001, 2.0),
+                    queryRate = QueryRate(perSecond = 0.001, burst = requests) { 1.0 },
+                    maxConditions = MAX_CONDITIONS,
+                    maxValueBytes = 4_000,
+                )
+            launch { api.run() }
+            block(api, standIn, host)
             server.cancel()
             coroutineContext.cancelChildren()
         }
@@ -389,4 +360,53 @@
                 server.cancel()
             }
         }
+
+    private fun StateStandIn.hold(
+        id: String,
+        stage: String = "queued",
+    ) {
+        val record = JobRecord(JobStage.QUEUED, Wire.jobSpec(Pack.decodeMap(Pack.encode(job(id)))), 1_000).toValue()
+        values["job/$id"] = (record + ("stage" to stage)) to ++tide
+    }
+
+    private suspend fun UserApi.getAll(ids: List<String>) = coroutineScope { ids.map { id -> async { get("/api/jobs/$id") } }.awaitAll() }
+
+    /** Guards against questions that are refused, or that cost others their rate, when users ask many times as often. */
+    @Test
+    fun `questions that come together share requests, and each is answered as things are now`() =
+        withApi { api, standIn, host ->
+            val ids = List(40) { "job-${it + 1}" }
+            for (id in ids) standIn.hold(id)
+            assertTrue(api.getAll(ids).all { stage(it) == "queued" })
+            val before = standIn.asked
+            val answers = api.getAll(List(4) { ids }.flatten() + "job-999")
+            assertEquals(List(160) { 200 } + 404, answers.map { it.status })
+            assertTrue(standIn.asked - before <= 10, "${standIn.asked - before} requests")
+            // Whatever changed since is told, whether or not the service names each key that failed.
+            for (oneKey in listOf(false, true)) {
+                standIn.namesOneFailedKey = oneKey
+                val changed = if (oneKey) listOf("job-3", "job-4", "job-999") else listOf("job-1", "job-2")
+                for (id in changed) standIn.hold(id, "aborted")
+                val told = (ids + "job-999").zip(api.getAll(ids + "job-999"))
+                for (id in changed) assertEquals("aborted", stage(told.single { it.first == id }.second))
+                assertEquals(if (oneKey) 36 else 38, told.count { it.second.status == 200 && stage(it.second) == "queued" })
+                assertTrue(host.toldCancelled.map { it.first.value }.containsAll(changed))
+            }
+        }
+
+    /** A crowd that asks must not take the room of those who submit or cancel. */
+    @Test
+    fun `questions refused for their number leave submissions and cancellations alone`() =
+        withApi(requests = 1.0) { api, standIn, _ ->
+            standIn.hold("job-1")
+            val answers = api.getAll(List(300) { "job-${it + 1}" })
+            assertEquals(1, answers.count { it.status == 200 })
+            assertTrue(answers.filter { it.status != 200 }.all { it.status in setOf(429, 503) && it.retryAfterS == 1 })
+            assertEquals(201, api.post(Wire.JOBS, job("job-500")).status)
+            assertEquals("aborted", stage(api.post("/api/jobs/job-1/cancel", emptyMap<String, Any?>())))
+        }
+
+    private companion object {
+        const val MAX_CONDITIONS = 32
+    }
 }
