A leader's own new machines get work in the answer to their first report

Cause: a machine took nothing before it had reported with the leader's term, so each new one stood idle for a report's interval. One that was ordered and rented under this leader and has heard of none cannot hold anything older: whoever led before had lost its authority when the machine was rented. Machines of an older leader's order still wait.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -300,7 +300,9 @@
         m.up = true
         if (!sameSession) m.images.clear()
         // A report that carries our term was sent after the worker learned it: older leaders' answers are void now.
-        m.settled = report.term >= term
+        // A new machine of our own is as good from its first report on: it has heard of no leader, and no older one could
+        // act any more when it was rented. Waiting for its second report left it idle for a report's interval.
+        m.settled = report.term >= term || (m.rentedInTerm && m.lapsedAt == null && report.term == Term.NONE)
         m.noticeAt = report.noticeS?.let { now + Span.ofSeconds(it) }
         val commands = ArrayList<Command>()
         readTasks(m, report, now, commands)
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -43,6 +43,8 @@
         var stage: RentStage,
         var notBefore: Instant,
         val since: Instant,
+        /** Ordered by this leader, not inherited from an older one. */
+        val isOwn: Boolean,
     )
 
     private data class Market(
@@ -83,7 +85,7 @@
         now: Instant,
     ) {
         val stage = if (record.rented == null) RentStage.TO_ASK else RentStage.WRITTEN
-        rentals[key] = Rental(record, stage, now, now)
+        rentals[key] = Rental(record, stage, now, now, isOwn = false)
         record.rented?.forEach { machineOf(it, record.order, now) }
     }
 
@@ -129,7 +131,7 @@
         log.info("rented {} of {} {}{} in {}: {}", rented.size, order.count, order.type, spotLabel(order.spot), order.zone, rented)
         rental.record = RentRecord(order, rented)
         rental.stage = RentStage.ANSWERED
-        rented.forEach { machineOf(it, order, now) }
+        for (id in rented) machineOf(id, order, now).rentedInTerm = rental.isOwn
     }
 
     /** No answer: the same order is asked again, under the same name. */
@@ -155,8 +157,10 @@
         id: MachineId,
         order: RentOrder,
         now: Instant,
-    ) {
-        machines.getOrPut(id) { Machine(id, now) }.describe(types[order.type], order.zone, order.spot)
+    ): Machine {
+        val machine = machines.getOrPut(id) { Machine(id, now) }
+        machine.describe(types[order.type], order.zone, order.spot)
+        return machine
     }
 
     // ---- what is to be written and done ----------------------------------------------------------------------
@@ -552,7 +556,7 @@
         }
         val step = term.value * TERM_STRIDE + nextRental++
         val order = RentOrder("r-$step", type.name, zone, spot, count)
-        rentals[Keys.rent(step)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now)
+        rentals[Keys.rent(step)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now, isOwn = true)
         log.info("wanted: {} {}{} in {}", count, type.name, spotLabel(spot), zone)
     }
 
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -45,6 +45,9 @@
     /** It has shown that it knows our term: nothing sent by an older leader can reach it any more. */
     var settled = false
 
+    /** Ordered and rented under this leader, so that no older leader can have started anything there. */
+    var rentedInTerm = false
+
     /** The session whose lease ran out; whatever arrives from it is late. */
     var lapsedSession = -1L
     var lapsedAt: Instant? = null
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -2,6 +2,7 @@
 
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.RentRecord
 import dewwing.protocol.Command
 import dewwing.protocol.EndCause
 import dewwing.protocol.Instant
@@ -141,6 +142,42 @@
     }
 
     @Test
+    /** Guards against new machines that stand idle until their second report, as on-call saw them. */
+    @Test
+    fun `a machine rented by this leader gets work in the answer to its first report`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        val rent =
+            generateSequence { round() }
+                .take(20)
+                .flatten()
+                .filterIsInstance<Effect.Rent>()
+                .first()
+        scheduler.onRented(rent.key, listOf(MachineId("m-7")), Instant(now))
+        val first = Report(MachineId("m-7"), "10.0.0.1:1", "k", "a", true, Position(1, 1), Term.NONE, null, emptyList())
+        scheduler.onReport(first, Instant(now))
+        assertTrue(scheduler.worthWaiting(first.machine))
+        round()
+        val launch = scheduler.commands(first, Instant(now), mayStart = true).filterIsInstance<Command.Launch>().single()
+        assertEquals(JobRef("job-1"), launch.task.job)
+    }
+
+    /** An order of an older leader may have been answered to that leader, which may have started tasks there. */
+    @Test
+    fun `a machine of an older leader's order gets nothing before it knows our term`() {
+        val successor = Scheduler(settings, Term(6), Revision(60), Instant(0), 0)
+        successor.onTypes(listOf(type))
+        val order = RentOrder("r-500001", "k", "a", true, 1)
+        successor.restoreRent("rent/500001", RentRecord(order, null), Instant(0))
+        successor.restored(Instant(0))
+        val rent = successor.round(Instant(100)) { true }.filterIsInstance<Effect.Rent>().single()
+        successor.onRented(rent.key, listOf(MachineId("m-7")), Instant(200))
+        val waiting = spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half)
+        successor.onJobEntry(waiting.ref, JobRecord(JobStage.QUEUED, waiting, 0), Revision(1), Instant(200))
+        val first = Report(MachineId("m-7"), "10.0.0.1:1", "k", "a", true, Position(1, 1), Term.NONE, null, emptyList())
+        successor.onReport(first, Instant(300))
+        assertFalse(successor.worthWaiting(first.machine))
+    }
+
     fun `a finished task is forgotten by its worker only after its result is written`() {
         launchOnM1(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half).copy(tasks = 2))
         val ended = ReportedTask(TaskRef(JobRef("job-1"), 0), Step(1), TaskStage.ENDED, EndCause.DONE, false)
