Arrays within a guarantee take places from work of lower priority that loses little

Such an array now takes places from tasks of lower priority that save within 5 s, where its image is, no more than it needs, at most every 5 s.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -17,6 +17,7 @@
 import dewwing.control.core.placement.Placement
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.placement.Preemption
+import dewwing.control.core.placement.Room
 import dewwing.control.core.quota.Quota
 import dewwing.protocol.Command
 import dewwing.protocol.EndCause
@@ -108,6 +109,9 @@
         if (settings.hasSiblings) maxOf(ANSWER_WAIT, settings.workers.report * REPORT_SPREAD + Span(HEARING_SLACK_MS)) else ANSWER_WAIT
 
     private var ranked: List<Job>? = null
+
+    /** Open jobs that their team's guarantee covers, as of the last ranking. */
+    private var guaranteedJobs: Set<Job> = emptySet()
     private var resumeAfter: JobRef? = null
 
     // ---- rebuilding from the state service -------------------------------------------------------------------
@@ -874,7 +878,11 @@
             }
             if (placements.isEmpty()) placements = choose(job, openings)
             if (placements.isEmpty()) {
-                if (urgent) makeRoom(job, openings.stoppableFor(job, preemption), now)
+                if (urgent) {
+                    makeRoom(job, openings.stoppableFor(job, preemption), now)
+                } else if (wantsGuaranteedRoom(job, now)) {
+                    makeGuaranteedRoom(job, openings.stoppableFor(job, preemption), now)
+                }
                 // Lower ranks must not take the machine that this gang is next to get.
                 if (job.isGang && job.live.isEmpty() && !job.isSuspect && quota.room(job.spec) >= job.spec.tasks) openings.reserve(job)
                 continue
@@ -943,13 +951,25 @@
     private fun releaseKept(now: Instant) {
         for (m in machines.values) {
             val job = m.keptFor ?: continue
-            val since = job.madeRoomAt
-            if (job.isOpen && job.live.isEmpty() && since != null && now - since < KEEP_ROOM && m.accepts) continue
+            if (m.accepts && job.isOpen && (awaitsUrgentRoom(job, now) || awaitsGuaranteedRoom(job, now))) continue
             m.keptFor = null
-            if (job.live.isNotEmpty() || since == null || now - since >= KEEP_ROOM) job.madeRoomAt = null
+            if (!awaitsUrgentRoom(job, now)) job.madeRoomAt = null
         }
     }
 
+    private fun awaitsUrgentRoom(
+        job: Job,
+        now: Instant,
+    ): Boolean {
+        val since = job.madeRoomAt ?: return false
+        return job.live.isEmpty() && now - since < KEEP_ROOM
+    }
+
+    private fun awaitsGuaranteedRoom(
+        job: Job,
+        now: Instant,
+    ): Boolean = !job.pending.isEmpty && now - job.guaranteedRoomAt < GUARANTEED_ROOM_EVERY
+
     /** Stops what [Preemption] chose for [job] and keeps the room for it; false when no room can be made. */
     private fun makeRoom(
         job: Job,
@@ -960,17 +980,48 @@
         val best = preemption.plan(job.spec, allowed, now)
         if (best.isEmpty()) return false
         job.madeRoomAt = now
-        for (room in best) {
-            room.machine.keptFor = job
-            for (a in room.victims) {
-                a.job.madeWay.addTo(a.task, 1)
-                if (a.neverSent) drop(a, now) else kill(a, if (a.job.spec.checkpointS > 0) a.job.spec.saveS else 0.0)
-            }
-        }
-        log.info("job {} makes room: {} tasks stopped on {}", job.ref, best.sumOf { it.victims.size }, best.map { it.machine.id })
+        for (room in best) room.machine.keptFor = job
+        stopVictims(job, best, now)
         return true
     }
 
+    private fun stopVictims(
+        job: Job,
+        rooms: List<Room>,
+        now: Instant,
+    ) {
+        for (a in rooms.flatMap { it.victims }) {
+            a.job.madeWay.addTo(a.task, 1)
+            if (a.neverSent) drop(a, now) else kill(a, if (a.job.spec.checkpointS > 0) a.job.spec.saveS else 0.0)
+        }
+        log.info("job {} makes room: {} tasks stopped on {}", job.ref, rooms.sumOf { it.victims.size }, rooms.map { it.machine.id })
+    }
+
+    /**
+     * An array that its team's guarantee covers need not wait for other teams' work of lower priority. What was stopped
+     * needs a few seconds to save and to leave; more is stopped only once that has had its time.
+     */
+    private fun wantsGuaranteedRoom(
+        job: Job,
+        now: Instant,
+    ): Boolean =
+        !job.isGang && !job.isSuspect && !job.spec.oneZone && !job.spec.spread && job in guaranteedJobs &&
+            now - job.guaranteedRoomAt >= GUARANTEED_ROOM_EVERY
+
+    private fun makeGuaranteedRoom(
+        job: Job,
+        allowed: List<Machine>,
+        now: Instant,
+    ) {
+        effort.look(allowed.size)
+        val wanted = minOf(job.pending.cardinality(), quota.room(job.spec))
+        val rooms = preemption.planGuaranteed(job.spec, wanted, allowed, now)
+        if (rooms.isEmpty()) return
+        job.guaranteedRoomAt = now
+        for (room in rooms) room.machine.keptFor = job
+        stopVictims(job, rooms, now)
+    }
+
     private fun choose(
         job: Job,
         openings: Openings,
@@ -1126,6 +1177,7 @@
         ranked?.let { if (now - rankedAt < RANK_EVERY) return it }
         val inOrder = jobs.values.sortedWith(compareBy({ it.submittedAtMs }, { it.ref.value }))
         val guaranteed = quota.guaranteed(inOrder.filterNot { it.isSuspect })
+        guaranteedJobs = guaranteed
         val overdue = HashMap<String, Long>()
         for (job in inOrder) {
             if (job.live.isEmpty() && job.doneCount == 0 && !job.isSuspect && now.ms + wallOffsetMs - job.submittedAtMs > AGED.ms) {
@@ -1207,6 +1259,7 @@
         private const val OVERFLOW_AFTER = 0.4
         private val OVERFLOW_KEEP = Span(45_000)
         private val KEEP_ROOM = Span(15_000)
+        private val GUARANTEED_ROOM_EVERY = Span(5_000)
         private const val FAULTY_AFTER_JOBS = 2
         private const val FORGET_MS = 60_000L
         private val DONE_LOG_DELAY = Span(2_000)
--- a/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
@@ -49,6 +49,32 @@
             }.minByOrNull { rooms -> rooms.sumOf { it.costS } } ?: emptyList()
     }
 
+    /**
+     * Rooms for up to [wanted] tasks of an array whose team's guarantee covers them, the cheapest first. Only work of
+     * lower priority that loses next to nothing makes way, and only where the image is: a start that has to fetch it
+     * is late anyway.
+     */
+    fun planGuaranteed(
+        spec: JobSpec,
+        wanted: Int,
+        allowed: List<Machine>,
+        now: Instant,
+    ): List<Room> {
+        val rooms =
+            allowed
+                .filter { it.keptFor == null && spec.image in it.images }
+                .mapNotNull { roomOn(it, spec, now, ::losesLittle) }
+                .filter { it.victims.isNotEmpty() }
+        val chosen = ArrayList<Room>()
+        var slots = 0
+        for (room in rooms.sortedBy { it.costS / it.slots }) {
+            if (slots >= wanted) break
+            chosen.add(room)
+            slots += room.slots
+        }
+        return chosen
+    }
+
     /** Whether [a] may make way for work of [urgency]. */
     fun mayStop(
         a: Attempt,
@@ -60,6 +86,7 @@
         m: Machine,
         spec: JobSpec,
         now: Instant,
+        also: (Attempt) -> Boolean = { true },
     ): Room? {
         val type = m.type ?: return null
         val victims = ArrayList<Attempt>()
@@ -67,7 +94,7 @@
         var cost = if (spec.image in m.images) 0.0 else fetchS(spec, type)
         val candidates =
             m.attempts.values
-                .filter { mayStop(it, spec.urgency) }
+                .filter { mayStop(it, spec.urgency) && also(it) }
                 .sortedBy { harmS(it, now) }
         for (a in candidates) {
             if (free.holds(spec.need)) break
@@ -88,6 +115,8 @@
         now: Instant,
     ): Double = lostS(a, now) + a.job.madeWay.get(a.task) * MADE_WAY_S
 
+    private fun losesLittle(a: Attempt): Boolean = a.job.spec.checkpointS > 0 && a.job.spec.saveS <= SMALL_LOSS_S
+
     /** Work that stopping [a] would waste. */
     private fun lostS(
         a: Attempt,
@@ -100,5 +129,6 @@
 
     companion object {
         private const val MADE_WAY_S = 120.0
+        private const val SMALL_LOSS_S = 5.0
     }
 }
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -25,6 +25,7 @@
 import dewwing.protocol.Step
 import dewwing.protocol.TaskRef
 import dewwing.protocol.TaskStage
+import dewwing.protocol.Team
 import dewwing.protocol.Term
 import dewwing.protocol.Urgency
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -141,7 +142,6 @@
         assertTrue(round().none { it is Effect.Write && it.change.puts.any { p -> p.first.startsWith("log/") } })
     }
 
-    @Test
     /** Guards against new machines that stand idle until their second report, as on-call saw them. */
     @Test
     fun `a machine rented by this leader gets work in the answer to its first report`() {
@@ -178,6 +178,7 @@
         assertFalse(successor.worthWaiting(first.machine))
     }
 
+    @Test
     fun `a finished task is forgotten by its worker only after its result is written`() {
         launchOnM1(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half).copy(tasks = 2))
         val ended = ReportedTask(TaskRef(JobRef("job-1"), 0), Step(1), TaskStage.ENDED, EndCause.DONE, false)
@@ -294,6 +295,72 @@
         assertEquals(listOf("job-3"), launched.map { it.task.job.value })
     }
 
+    private fun withGuarantee(
+        guaranteed: Double,
+        block: (Scheduler) -> Unit,
+    ) {
+        val teams = listOf(Team("t", 0.0, null, guaranteed, null), Team("guest", 0.0, null, 0.0, null))
+        val s = Scheduler(settings.copy(teams = teams), term, Revision(50), Instant(0), 0)
+        s.onTypes(listOf(type))
+        block(s)
+    }
+
+    /** Tasks killed on a machine that a guest's work fills once [job] of team "t" waits there. */
+    private fun stoppedFor(
+        job: JobSpec,
+        guest: JobSpec,
+        guaranteed: Double,
+    ): List<TaskRef> {
+        val killed = ArrayList<TaskRef>()
+        withGuarantee(guaranteed) { s ->
+            fun submit(j: JobSpec) =
+                s.onJobEntry(
+                    j.ref,
+                    JobRecord(JobStage.QUEUED, j, now),
+                    Revision(
+                        j.ref.value
+                            .removePrefix("job-")
+                            .toLong(),
+                    ),
+                    Instant(now),
+                )
+
+            fun turn(vararg tasks: ReportedTask): List<Command> {
+                now += 500
+                val r = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, Position(1, ++seq), term, null, tasks.toList())
+                s.onReport(r, Instant(now))
+                val effects = s.round(Instant(now)) { true }
+                if (effects.any { it is Effect.Write }) s.onWritten(Revision(1_000 + now), Instant(now))
+                killed += effects.filterIsInstance<Effect.Kill>().flatMap { it.kills }.map { it.task }
+                return s.commands(r, Instant(now), mayStart = true)
+            }
+            submit(guest)
+            turn()
+            turn()
+            val guests = Array(guest.tasks) { ReportedTask(TaskRef(guest.ref, it), Step(1), TaskStage.RUNNING, null, false) }
+            turn(*guests)
+            submit(job)
+            now += 3_000
+            repeat(4) { turn(*guests) }
+        }
+        return killed
+    }
+
+    /** Guards a team's guarantee against a guest whose idle-time work fills every machine (visitors on kuulda-cast-ops). */
+    @Test
+    fun `work within a guarantee takes places from guests that lose little, and no more than it needs`() {
+        fun guest(
+            urgency: Urgency,
+            checkpointS: Double,
+        ) = spec(1, "g", urgency, JobShape.ARRAY, Resources(2.0, 0.0, 8.0), checkpointS).copy(team = "guest", tasks = 4)
+
+        val job = spec(2, "c", Urgency.STANDARD, JobShape.ARRAY, half)
+        assertEquals(2, stoppedFor(job, guest(Urgency.LOW, 30.0), guaranteed = 2.0).toSet().size)
+        assertEquals(emptyList<TaskRef>(), stoppedFor(job, guest(Urgency.LOW, 30.0), guaranteed = 0.0))
+        assertEquals(emptyList<TaskRef>(), stoppedFor(job, guest(Urgency.LOW, 0.0), guaranteed = 2.0))
+        assertEquals(emptyList<TaskRef>(), stoppedFor(job, guest(Urgency.STANDARD, 30.0), guaranteed = 2.0))
+    }
+
     @Test
     fun `a cancelled job's tasks are killed at once and never launched`() {
         val job = spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half).copy(tasks = 2)
