--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -36,7 +36,7 @@
     suspend fun relay(request: HttpRequest): HttpAnswer?
 
     /** To be called before a user is told that [job] is cancelled; [revision] is that of its record. */
-    fun tellsCancelled(
+    fun onCancellationConfirmed(
         job: JobRef,
         revision: Revision,
     )
@@ -241,7 +241,7 @@
         record: JobRecord,
         revision: Revision,
     ) {
-        if (record.stage == JobStage.ABORTED) host.tellsCancelled(ref, revision)
+        if (record.stage == JobStage.ABORTED) host.onCancellationConfirmed(ref, revision)
         if (record.isFinal) finals.put(ref.value, record.stage)
     }
 
@@ -266,7 +266,7 @@
             val change = StateChange(listOf(Keys.job(ref) to revision), listOf(Keys.job(ref) to value))
             val result = state.commit(change)
             if (result is CommitResult.Applied) {
-                host.tellsCancelled(ref, result.revision)
+                host.onCancellationConfirmed(ref, result.revision)
                 finals.put(ref.value, JobStage.ABORTED)
                 return HttpAnswer.of(200, Wire.jobAnswer(ref, JobStage.ABORTED))
             }
--- a/src/main/kotlin/dewwing/control/app/Rehearsal.kt
+++ b/src/main/kotlin/dewwing/control/app/ClassDataWarmup.kt
@@ -24,7 +24,7 @@
  * A few seconds of a controller's life against a canned state service and cloud on loopback, so that the build can
  * record the classes a start needs. Start-up processor time is failover time on a small machine.
  */
-internal object Rehearsal {
+internal object ClassDataWarmup {
     private const val LENGTH_MS = 4_000L
 
     fun run() {
--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -13,10 +13,10 @@
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.leadership.Authority
 import dewwing.control.core.leadership.Cancellation
+import dewwing.control.core.leadership.ConfirmedCancellations
 import dewwing.control.core.leadership.Leadership
 import dewwing.control.core.leadership.LeadershipTimes
-import dewwing.control.core.leadership.SiblingWord
-import dewwing.control.core.leadership.ToldCancellations
+import dewwing.control.core.leadership.PeerHeartbeat
 import dewwing.control.core.quota.Quota
 import dewwing.control.http.HttpAnswer
 import dewwing.control.http.HttpClient
@@ -27,7 +27,7 @@
 import dewwing.control.peer.PeerClient
 import dewwing.control.peer.PeerRequest
 import dewwing.control.peer.PeerServer
-import dewwing.control.peer.PeerWord
+import dewwing.control.peer.PeerState
 import dewwing.control.state.CommitResult
 import dewwing.control.state.StateClient
 import dewwing.control.state.StateUnavailableException
@@ -56,7 +56,7 @@
 import kotlin.random.Random
 
 /**
- * One controller: serves users and workers, says words to its siblings, stands for election, and leads while elected.
+ * One controller: serves users and workers, exchanges heartbeats with its siblings, stands for election, and leads while elected.
  *
  * Everything here runs on one thread; only the socket selector has another.
  */
@@ -90,16 +90,16 @@
         )
     private val workers = WorkerClient(selector) { call, outcome -> metrics.called("worker", call, outcome) }
     private val peers = settings.siblings.associate { it.name to PeerClient(selector, it.endpoint) }
-    private val words = HashMap<String, SiblingWord>()
+    private val heartbeats = HashMap<String, PeerHeartbeat>()
     private val leadership =
         Leadership(
             LeadershipTimes
-                .of(settings.workers, options.holdTtl, Span(minOf(WORD_AGE_MS, tunables.outageBound.ms)))
+                .of(settings.workers, options.holdTtl, Span(minOf(HEARTBEAT_AGE_MS, tunables.outageBound.ms)))
                 .also(::warnOfNoRoom),
             siblings = peers.keys,
         )
     private val incarnation = Incarnation(Random.nextLong())
-    private val told = ToldCancellations()
+    private val confirmed = ConfirmedCancellations()
     private val api: UserApi
     private var types: List<MachineType> = emptyList()
     private var leaderName: String? = null
@@ -141,7 +141,7 @@
     }
 
     private fun warnOfNoRoom(times: LeadershipTimes) {
-        if (times.wordAge.ms < WORD_EVERY_MS * 2) {
+        if (times.heartbeatAge.ms < HEARTBEAT_EVERY_MS * 2) {
             log.warn(
                 "workers.cancel_s leaves no room beyond workers.lease_s: an outage of the state service costs the leases of all running work",
             )
@@ -164,7 +164,7 @@
             launch { api.run() }
             launch { HttpServer(selector, settings.serveOn, limits, handler = ::serve).run() }
             launch { PeerServer(selector, settings.peerListen, ::answerPeer).run() }
-            for ((name, client) in peers) launch { sayWords(name, client) }
+            for ((name, client) in peers) launch { exchangeHeartbeats(name, client) }
             launch { learnTypes() }
             electForEver()
         }
@@ -197,7 +197,7 @@
     private fun health(): HttpAnswer =
         when {
             types.isEmpty() -> HttpAnswer.error(503, "machine types are not known yet", 1)
-            state.givenUp && peers.isNotEmpty() && freshWords().isEmpty() -> HttpAnswer.error(503, "cut off", 1)
+            state.givenUp && peers.isNotEmpty() && peersHeardLately().isEmpty() -> HttpAnswer.error(503, "cut off", 1)
             else -> HttpAnswer.of(200, emptyMap<String, Any?>())
         }
 
@@ -240,15 +240,10 @@
     /** A start logged before its job was cancelled elsewhere must not go out once that could be seen no more. */
     private fun seesCancellations() = now() - state.lastAnswered <= START_FRESH && leadership.mayStart(now())
 
-    private fun elsewhere(): HttpAnswer =
-        HttpAnswer.of(
-            421,
-            Wire.redirect(
-                leaderName?.takeIf {
-                    it != settings.node && now() - leaderSeenAt < LEADER_FRESH
-                },
-            ),
-        )
+    private fun elsewhere(): HttpAnswer = HttpAnswer.of(421, Wire.redirect(otherLeader()))
+
+    /** The name of the leader, if it is another controller and was confirmed lately. */
+    private fun otherLeader(): String? = leaderName?.takeIf { it != settings.node && now() - leaderSeenAt < LEADER_FRESH }
 
     private fun sawLeader(name: String?) {
         leaderName = name
@@ -257,9 +252,9 @@
 
     // ---- siblings --------------------------------------------------------------------------------------------
 
-    private fun ownWord(): PeerWord {
+    private fun ownState(): PeerState {
         val sure = leading != null || now() - leaderReadAt < LEADER_FRESH
-        return PeerWord(
+        return PeerState(
             reachesState = !state.failing && state.lastAnswered > Instant.NEVER,
             highestTerm = leadership.highestTerm,
             leader = leaderName?.takeIf { sure } ?: "",
@@ -267,7 +262,7 @@
         )
     }
 
-    private suspend fun sayWords(
+    private suspend fun exchangeHeartbeats(
         name: String,
         client: PeerClient,
     ) {
@@ -275,31 +270,31 @@
             val sent = now()
             try {
                 val lead = leading
-                val answer = client.ask(PeerRequest.Word(settings.node, ownWord(), lead?.jobsKnown), WORD_TIMEOUT_MS)
-                if (answer is PeerAnswer.Word) hearWord(name, answer, sent, lead)
+                val answer = client.ask(PeerRequest.Heartbeat(settings.node, ownState(), lead?.jobsKnown), HEARTBEAT_TIMEOUT_MS)
+                if (answer is PeerAnswer.Heartbeat) onHeartbeat(name, answer, sent, lead)
             } catch (e: IOException) {
-                log.debug("no word from {}: {}", name, e.message)
+                log.debug("no heartbeat from {}: {}", name, e.message)
             }
-            // The leader's outage rule rests on fresh words; for the rest, seven controllers asking each other twice a
+            // The leader's outage rule rests on fresh heartbeats; for the rest, seven controllers asking each other twice a
             // second cost more processor time than all else that followers do.
             val eager = leading != null || state.failing || peers.size <= FEW_SIBLINGS
-            delay(if (eager) WORD_EVERY_MS else IDLE_WORD_EVERY_MS)
+            delay(if (eager) HEARTBEAT_EVERY_MS else IDLE_HEARTBEAT_EVERY_MS)
         }
     }
 
-    private fun hearWord(
+    private fun onHeartbeat(
         name: String,
-        answer: PeerAnswer.Word,
+        answer: PeerAnswer.Heartbeat,
         sent: Instant,
         askedAs: Leader?,
     ) {
-        val said = answer.word
+        val said = answer.heartbeat
         for (c in answer.cancellations ?: emptyList()) leading?.scheduler?.onCancelled(c.job, c.revision, now())
         // Dated when it was asked for: the sibling said it later than that, never earlier.
-        val tellsAll = answer.cancellations != null && askedAs === leading
-        val word = SiblingWord(sent, said.reachesState, said.highestTerm, said.incarnation, tellsAll)
-        words[name] = word
-        leadership.heard(name, word, now())
+        val hasAllCancellations = answer.cancellations != null && askedAs === leading
+        val heartbeat = PeerHeartbeat(sent, said.reachesState, said.highestTerm, said.incarnation, hasAllCancellations)
+        heartbeats[name] = heartbeat
+        leadership.heard(name, heartbeat, now())
         hearLeader(said)
     }
 
@@ -307,28 +302,28 @@
      * A user is about to be told that [job] is cancelled. A leader that the state service refuses would not see it, and
      * would keep its tasks alive in an outage.
      */
-    override fun tellsCancelled(
+    override fun onCancellationConfirmed(
         job: JobRef,
         revision: Revision,
     ) {
-        told.note(Cancellation(job, revision))
+        confirmed.note(Cancellation(job, revision))
         leading?.scheduler?.onCancelled(job, revision, now())
     }
 
-    private fun hearLeader(word: PeerWord) {
-        val fresher = word.leader == leaderName || now() - leaderReadAt >= LEADER_FRESH || leaderName == null
-        if (fresher && leading == null && word.leader.isNotEmpty() && word.leader != settings.node &&
-            word.highestTerm >= leadership.highestTerm
+    private fun hearLeader(heartbeat: PeerState) {
+        val fresher = heartbeat.leader == leaderName || now() - leaderReadAt >= LEADER_FRESH || leaderName == null
+        if (fresher && leading == null && heartbeat.leader.isNotEmpty() && heartbeat.leader != settings.node &&
+            heartbeat.highestTerm >= leadership.highestTerm
         ) {
-            sawLeader(word.leader)
+            sawLeader(heartbeat.leader)
         }
     }
 
     private suspend fun answerPeer(request: PeerRequest): PeerAnswer =
         when (request) {
-            is PeerRequest.Word -> {
-                leadership.heardTerm(request.word.highestTerm)
-                PeerAnswer.Word(ownWord(), request.jobsKnown?.let(told::since))
+            is PeerRequest.Heartbeat -> {
+                leadership.heardTerm(request.heartbeat.highestTerm)
+                PeerAnswer.Heartbeat(ownState(), request.jobsKnown?.let(confirmed::since))
             }
 
             is PeerRequest.Counts -> {
@@ -342,18 +337,18 @@
             }
         }
 
-    private fun freshWords(): Set<String> {
+    private fun peersHeardLately(): Set<String> {
         val at = now()
-        return words.filter { (at - it.value.at).ms < RELAY_WORD_MS }.keys
+        return heartbeats.filter { (at - it.value.at).ms < RELAY_HEARTBEAT_AGE_MS }.keys
     }
 
-    private fun ableSiblings(): List<String> = freshWords().filter { words[it]?.reachesState == true }
+    private fun peersReachingState(): List<String> = peersHeardLately().filter { heartbeats[it]?.reachesState == true }
 
-    override val cutOffAlone: Boolean get() = state.failing && ableSiblings().isNotEmpty()
+    override val cutOffAlone: Boolean get() = state.failing && peersReachingState().isNotEmpty()
 
     /** Bounded as a whole: a sibling that has stopped without ending still looks able for a while. */
     override suspend fun relay(request: HttpRequest): HttpAnswer? =
-        withTimeoutOrNull(RELAY_TOTAL_MS) { ableSiblings().firstNotNullOfOrNull { relayTo(it, request) } }
+        withTimeoutOrNull(RELAY_TOTAL_MS) { peersReachingState().firstNotNullOfOrNull { relayTo(it, request) } }
 
     private suspend fun relayTo(
         name: String,
@@ -547,7 +542,7 @@
                 knownTypes = { types },
                 onTypes = ::learned,
                 hasSiblings = peers.isNotEmpty(),
-                siblingsHeard = { freshWords().isNotEmpty() },
+                siblingsHeard = { peersHeardLately().isNotEmpty() },
             )
         leading = leader
         try {
@@ -571,12 +566,12 @@
         private const val INTAKE_SHARE = 0.8
         private const val INTAKE_BURST = 6.0
         private const val VALUE_SLACK = 64
-        private const val WORD_AGE_MS = 2_500L
-        private const val WORD_EVERY_MS = 500L
-        private const val IDLE_WORD_EVERY_MS = 1_500L
+        private const val HEARTBEAT_AGE_MS = 2_500L
+        private const val HEARTBEAT_EVERY_MS = 500L
+        private const val IDLE_HEARTBEAT_EVERY_MS = 1_500L
         private const val FEW_SIBLINGS = 2
-        private const val WORD_TIMEOUT_MS = 1_000L
-        private const val RELAY_WORD_MS = 3_000L
+        private const val HEARTBEAT_TIMEOUT_MS = 1_000L
+        private const val RELAY_HEARTBEAT_AGE_MS = 3_000L
         private const val RELAY_MS = 900L
 
         /** A user waits 2 s for the answer to a query. */
--- a/src/main/kotlin/dewwing/control/app/Main.kt
+++ b/src/main/kotlin/dewwing/control/app/Main.kt
@@ -36,7 +36,7 @@
 
     val config by option("--config", metavar = "FILE", help = "settings file (JSON); run the controller")
     val check by option("--check", help = "check the settings file and exit").flag()
-    val rehearse by option("--rehearse", hidden = true, help = "load what a start needs, for the class-data archive").flag()
+    val classDataWarmup by option("--class-data-warmup", hidden = true, help = "load what a start needs, for the class-data archive").flag()
     val collectorS by option(
         "--collector-period",
         envvar = "DEWWING_COLLECTOR_PERIOD",
@@ -87,8 +87,8 @@
     }
 
     override fun run() {
-        if (rehearse) {
-            Rehearsal.run()
+        if (classDataWarmup) {
+            ClassDataWarmup.run()
             return
         }
         val path = config ?: fail("--config FILE is missing")
@@ -123,7 +123,7 @@
 
 private const val BAD_SETTINGS = 2
 
-const val VERSION = "0.4.0"
+const val VERSION = "0.5.0"
 
 /** Runs a controller until the process is killed: one thread for everything, one for the socket selector. */
 private fun serve(
@@ -163,5 +163,5 @@
         command.echoFormattedHelp(e)
         exitProcess(if (e.statusCode == 0) 0 else BAD_SETTINGS)
     }
-    if ("--rehearse" in args) exitProcess(0)
+    if ("--class-data-warmup" in args) exitProcess(0)
 }
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -13,7 +13,7 @@
 import dewwing.control.core.job.AttemptPhase
 import dewwing.control.core.job.Job
 import dewwing.control.core.leadership.LeadershipTimes
-import dewwing.control.core.placement.Openings
+import dewwing.control.core.placement.MachineIndex
 import dewwing.control.core.placement.Placement
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.placement.Preemption
@@ -72,8 +72,8 @@
     /** Every open job with tasks that have no place; others may be among them until the next round. */
     private val waitingJobs = LinkedHashSet<Job>()
 
-    /** What has been looked at; see [Effort]. */
-    val effort = Effort()
+    /** What has been looked at; see [WorkCounter]. */
+    val workCounter = WorkCounter()
     private val machines = LinkedHashMap<MachineId, Machine>()
     private val types = LinkedHashMap<String, MachineType>()
     private val quota = Quota(settings.teams)
@@ -86,14 +86,14 @@
     private val gcQueue = ArrayDeque<Pair<Instant, String>>()
     private var batch: Batch? = null
     private val effects = ArrayList<Effect>()
-    private val fleet = Fleet(settings, term, machines, types, quota, effort, startedAt)
+    private val fleet = Fleet(settings, term, machines, types, quota, workCounter, startedAt)
     private val preemption = Preemption(quota, fleet::fetchS)
 
     /**
      * Answers that are in no book here may keep a worker's lease alive until then: those of older leaders, and our
      * own before the picture was rebuilt.
      */
-    private var unbookedUntil = startedAt + tunables.outageBound
+    private var unrecordedRenewalsUntil = startedAt + tunables.outageBound
     private val leaseSpan = LeadershipTimes.leaseWithDrift(settings.workers.lease)
 
     /** A worker that has not reported for so long is not counted on for new work. */
@@ -188,7 +188,7 @@
     fun restored(now: Instant) {
         // Reports are answered while the picture is rebuilt. With a slow state service that takes longer than older
         // leaders' answers count, and a worker answered last thing before would have been given up too early.
-        unbookedUntil = maxOf(unbookedUntil, now)
+        unrecordedRenewalsUntil = maxOf(unrecordedRenewalsUntil, now)
         for (key in orphanLogs) gcQueue.addLast((now + tunables.logLife) to key)
         orphanLogs = ArrayList()
         for (job in jobs.values.filter { !it.isOpen }) {
@@ -367,7 +367,7 @@
         if (!m.accepts) return false
         if (m.attempts.values.any { it.phase == AttemptPhase.LOGGING }) return true
         if (m.attempts.values.any { it.phase == AttemptPhase.READY }) return false
-        effort.look(minOf(waitingJobs.size, MAX_WAITING_LOOKS))
+        workCounter.look(minOf(waitingJobs.size, MAX_WAITING_LOOKS))
         return waitingJobs
             .asSequence()
             .take(MAX_WAITING_LOOKS)
@@ -400,7 +400,7 @@
         commands: MutableList<Command>,
     ) {
         val listed = HashSet<Pair<Any, Step>>(report.tasks.size * 2)
-        effort.look(report.tasks.size + m.attempts.size)
+        workCounter.look(report.tasks.size + m.attempts.size)
         for (t in report.tasks) {
             listed.add(t.task to t.attempt)
             val known = m.attempts[t.task]?.takeIf { it.number == t.attempt }
@@ -671,7 +671,7 @@
      * would wait for the lease to lapse or, on a machine that goes on reporting, for ever.
      */
     private fun takeBackUnsent(now: Instant) {
-        effort.look(machines.size)
+        workCounter.look(machines.size)
         for (m in machines.values) {
             if ((m.accepts && now - m.heardAt <= silenceSpan) || m.attempts.values.none { it.phase == AttemptPhase.READY }) continue
             for (a in m.attempts.values.toList()) if (a.phase == AttemptPhase.READY) lost(a, now)
@@ -680,10 +680,10 @@
 
     /** Lets leases run out: without an answer from us since then, the worker has killed everything it had. */
     private fun lapse(now: Instant) {
-        effort.look(machines.size)
+        workCounter.look(machines.size)
         for (m in machines.values) {
             if (!m.up && m.attempts.isEmpty()) continue
-            val answered = maxOf(m.lastAnswered, unbookedUntil)
+            val answered = maxOf(m.lastAnswered, unrecordedRenewalsUntil)
             var deadline = answered + leaseSpan
             val relaunch = startedAt + tunables.relaunchWait
             if (m.lastAnswered == Instant.NEVER && relaunch > deadline) deadline = relaunch
@@ -851,11 +851,11 @@
         resumeAfter = null
         releaseKept(now)
         waitingJobs.removeIf { it.pending.isEmpty || !it.isOpen || it.isComplete }
-        effort.look(order.size)
+        workCounter.look(order.size)
         if (waitingJobs.isEmpty()) return
         val takers = machines.values.filter { it.accepts && now - it.heardAt <= silenceSpan }
-        effort.look(machines.size)
-        val openings = Openings(takers, waitingJobs, effort)
+        workCounter.look(machines.size)
+        val machineIndex = MachineIndex(takers, waitingJobs, workCounter)
         for (i in from until order.size) {
             val job = order[i]
             if (b.ops >= room) return
@@ -869,27 +869,27 @@
             var placements = emptyList<Placement>()
             if (urgent && fleet.fetchMissesStart(job.spec)) {
                 // Fetching its image alone would make it late: machines that have it come first, made free if need be.
-                placements = choose(job, openings) { job.spec.image in it.images }
+                placements = choose(job, machineIndex) { job.spec.image in it.images }
                 if (placements.isEmpty() &&
-                    makeRoom(job, openings.stoppableFor(job, preemption).filter { job.spec.image in it.images }, now)
+                    makeRoom(job, machineIndex.stoppableFor(job, preemption).filter { job.spec.image in it.images }, now)
                 ) {
                     continue
                 }
             }
-            if (placements.isEmpty()) placements = choose(job, openings)
+            if (placements.isEmpty()) placements = choose(job, machineIndex)
             if (placements.isEmpty()) {
                 if (urgent) {
-                    makeRoom(job, openings.stoppableFor(job, preemption), now)
+                    makeRoom(job, machineIndex.stoppableFor(job, preemption), now)
                 } else if (wantsGuaranteedRoom(job, now)) {
-                    makeGuaranteedRoom(job, openings.stoppableFor(job, preemption), now)
+                    makeGuaranteedRoom(job, machineIndex.stoppableFor(job, preemption), now)
                 }
                 // Lower ranks must not take the machine that this gang is next to get.
-                if (job.isGang && job.live.isEmpty() && !job.isSuspect && quota.room(job.spec) >= job.spec.tasks) openings.reserve(job)
+                if (job.isGang && job.live.isEmpty() && !job.isSuspect && quota.room(job.spec) >= job.spec.tasks) machineIndex.reserve(job)
                 continue
             }
             logStep(b, job, placements, now)
         }
-        placeOverflow(b, room, order, openings, now)
+        placeOverflow(b, room, order, machineIndex, now)
     }
 
     /**
@@ -903,7 +903,7 @@
         b: Batch,
         room: Int,
         order: List<Job>,
-        openings: Openings,
+        machineIndex: MachineIndex,
         now: Instant,
     ) {
         val late =
@@ -914,7 +914,7 @@
             }
         if (late.isEmpty()) return
         val idle =
-            openings.withAccelerators().filter { m ->
+            machineIndex.withAccelerators().filter { m ->
                 val lastProper = m.lastProper
                 m.keptFor == null && m.attempts.values.none { it.job.spec.need.accelerators > 0 } &&
                     lastProper != null && now - lastProper < OVERFLOW_KEEP
@@ -976,7 +976,7 @@
         allowed: List<Machine>,
         now: Instant,
     ): Boolean {
-        effort.look(allowed.size)
+        workCounter.look(allowed.size)
         val best = preemption.plan(job.spec, allowed, now)
         if (best.isEmpty()) return false
         job.madeRoomAt = now
@@ -1013,7 +1013,7 @@
         allowed: List<Machine>,
         now: Instant,
     ) {
-        effort.look(allowed.size)
+        workCounter.look(allowed.size)
         val wanted = minOf(job.pending.cardinality(), quota.room(job.spec))
         val rooms = preemption.planGuaranteed(job.spec, wanted, allowed, now)
         if (rooms.isEmpty()) return
@@ -1024,7 +1024,7 @@
 
     private fun choose(
         job: Job,
-        openings: Openings,
+        machineIndex: MachineIndex,
         also: (Machine) -> Boolean = { true },
     ): List<Placement> {
         if (job.isGang && job.live.isNotEmpty()) return emptyList()
@@ -1038,7 +1038,7 @@
             return emptyList()
         }
         val useful = Placer.usefulTypes(job.spec, types.values).mapTo(HashSet()) { it.name }
-        val placements = Placer.place(job, openings.roomFor(job, useful, also), limit)
+        val placements = Placer.place(job, machineIndex.roomFor(job, useful, also), limit)
         if (placements.isEmpty()) wait(job, "a machine with room")
         return placements
     }
--- a/src/main/kotlin/dewwing/control/core/Effort.kt
+++ b/src/main/kotlin/dewwing/control/core/WorkCounter.kt
@@ -4,7 +4,7 @@
  * How many machines, jobs and tasks the core has looked at. Time cannot be tested; this can: work has to grow with
  * what changed, not with jobs times machines.
  */
-class Effort {
+class WorkCounter {
     var looks = 0L
         private set
 
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -2,8 +2,8 @@
 
 import dewwing.control.core.CoreSettings
 import dewwing.control.core.Effect
-import dewwing.control.core.Effort
 import dewwing.control.core.RentOrder
+import dewwing.control.core.WorkCounter
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
@@ -29,7 +29,7 @@
     private val machines: MutableMap<MachineId, Machine>,
     private val types: Map<String, MachineType>,
     private val quota: Quota,
-    private val effort: Effort,
+    private val workCounter: WorkCounter,
     /** Start of this leader. */
     private val since: Instant,
 ) {
@@ -238,7 +238,7 @@
         // Before the first list a new leader knows the types of hardly any machine, and would order a fleet anew.
         if (!listed && now - since < settlesWithin) return
         val bins = bins(now)
-        effort.look(machines.size + ranked.size)
+        workCounter.look(machines.size + ranked.size)
         val wanted = demand(ranked, now, wallNowMs)
         wanted.map { it.first.spec.need }.reduceOrNull(Resources::least)?.let { least ->
             // Most machines are full most of the time: no job needs to look at those.
@@ -456,7 +456,7 @@
         val useful = Placer.usefulTypes(spec, types.values)
         for (bin in open) {
             if (missing <= 0) return
-            effort.look(1)
+            workCounter.look(1)
             if (!bin.free.holds(spec.need)) continue
             // Where the job has failed it is not placed again: counting on that machine would leave it waiting for ever.
             if (bin.machine?.id?.value in job.failedOn) continue
--- a/src/main/kotlin/dewwing/control/core/leadership/ToldCancellations.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/ConfirmedCancellations.kt
@@ -15,24 +15,24 @@
  *
  * Such a leader names the revision up to which it has read all jobs and is told what is newer. Revisions order all
  * changes, so nothing needs to be acknowledged: what it has not heard stays newer than what it names. At most [limit]
- * are kept, the newest; a leader that is behind what was dropped gets no list, which it must take for no word.
+ * are kept, the newest; a leader that is behind what was dropped gets no list, which it must not count as a heartbeat.
  */
-class ToldCancellations(
+class ConfirmedCancellations(
     private val limit: Int = LIMIT,
 ) {
-    private val told = TreeSet(compareBy<Cancellation>({ it.revision }, { it.job.value }))
+    private val confirmed = TreeSet(compareBy<Cancellation>({ it.revision }, { it.job.value }))
 
     /** The newest revision that was dropped. */
     private var floor = Revision.ABSENT
 
     fun note(cancellation: Cancellation) {
         if (cancellation.revision <= floor) return
-        told.add(cancellation)
-        while (told.size > limit) told.pollFirst()?.let { floor = maxOf(floor, it.revision) }
+        confirmed.add(cancellation)
+        while (confirmed.size > limit) confirmed.pollFirst()?.let { floor = maxOf(floor, it.revision) }
     }
 
     /** All that came after [known]; null when some of it was dropped. */
-    fun since(known: Revision): List<Cancellation>? = if (floor > known) null else told.filter { it.revision > known }
+    fun since(known: Revision): List<Cancellation>? = if (floor > known) null else confirmed.filter { it.revision > known }
 
     companion object {
         private const val LIMIT = 512
--- a/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
@@ -7,15 +7,15 @@
 import dewwing.protocol.WorkerTimes
 
 /**
- * What a sibling last said of itself. [tellsAll] says that its word brought every cancellation it had told users of and
- * that this leader may not have read; without that it is no word for the outage rule.
+ * What a sibling last said of itself. [hasAllCancellations] says that its heartbeat brought every cancellation it had told users of and
+ * that this leader may not have read; without that it does not count for the outage rule.
  */
-data class SiblingWord(
+data class PeerHeartbeat(
     val at: Instant,
     val reachesState: Boolean,
     val highestTerm: Term,
     val incarnation: Incarnation,
-    val tellsAll: Boolean,
+    val hasAllCancellations: Boolean,
 )
 
 /** What the leader may do at a moment. */
@@ -33,8 +33,8 @@
     /** Life of the hold on the state service. */
     val holdTtl: Span,
     val holdMargin: Span,
-    /** How old a sibling's word may be in an outage. */
-    val wordAge: Span,
+    /** How old a sibling's heartbeat may be in an outage. */
+    val heartbeatAge: Span,
     /** How old the leader's reading of the jobs may be while it renews leases; see [Leadership.informed]. */
     val readingAge: Span,
     /** A leader that has not read its picture yet may renew leases if its predecessor had one. */
@@ -52,7 +52,7 @@
         fun of(
             workers: WorkerTimes,
             holdTtl: Span,
-            wordAge: Span,
+            heartbeatAge: Span,
         ): LeadershipTimes {
             val lease = leaseWithDrift(workers.lease)
             val room = Span(workers.cancel.ms - lease.ms - ANSWER.ms)
@@ -60,7 +60,7 @@
             return LeadershipTimes(
                 holdTtl,
                 Span(HOLD_MARGIN_MS),
-                wordAge = Span(minOf(wordAge.ms, room.ms).coerceAtLeast(0)),
+                heartbeatAge = Span(minOf(heartbeatAge.ms, room.ms).coerceAtLeast(0)),
                 readingAge = reading,
                 mayInherit = lease.ms + reading.ms <= room.ms,
             )
@@ -85,10 +85,10 @@
 /**
  * Whether this controller may still act as leader.
  *
- * While its hold runs it may. Past that it may only renew leases, as long as every sibling has said within the word's
+ * While its hold runs it may. Past that it may only renew leases, as long as every sibling has said within the heartbeat's
  * age that it cannot reach the state service either and knows no higher term: nobody can be elected then. The chain of
- * words must not break: once it has, a sibling may have been elected and restarted unnoticed. After a successor's
- * election this authority therefore ends within the word's age.
+ * heartbeats must not break: once it has, a sibling may have been elected and restarted unnoticed. After a successor's
+ * election this authority therefore ends within the heartbeat's age.
  *
  * Renewing a lease keeps the tasks of jobs alive whose cancellation it has not heard of. So it renews only while it is
  * [informed], and gives that up early enough for a lease to run out within the time that a cancellation has.
@@ -102,9 +102,9 @@
     private var holdUntil: Instant = Instant.NEVER
     private var resigned = true
 
-    /** The chain of sibling words has broken; only a renewal, which proves that the hold still ran, mends that. */
+    /** The chain of sibling heartbeats has broken; only a renewal, which proves that the hold still ran, mends that. */
     private var broken = false
-    private val words = HashMap<String, SiblingWord>()
+    private val heartbeats = HashMap<String, PeerHeartbeat>()
 
     /** When each sibling's present incarnation was first heard of. */
     private val firstHeard = HashMap<String, Instant>()
@@ -120,15 +120,15 @@
         if (term > highestTerm) highestTerm = term
     }
 
-    /** [word] came in [now]; its cancellations have been passed on to whoever must know them. */
+    /** [heartbeat] came in [now]; its cancellations have been passed on to whoever must know them. */
     fun heard(
         sibling: String,
-        word: SiblingWord,
+        heartbeat: PeerHeartbeat,
         now: Instant,
     ) {
-        val before = words.put(sibling, word)
-        if (before == null || before.incarnation != word.incarnation) firstHeard[sibling] = now
-        heardTerm(word.highestTerm)
+        val before = heartbeats.put(sibling, heartbeat)
+        if (before == null || before.incarnation != heartbeat.incarnation) firstHeard[sibling] = now
+        heardTerm(heartbeat.highestTerm)
     }
 
     /** Elected, under a hold whose last renewal was sent at [holdSentAt]. */
@@ -167,7 +167,7 @@
         if (resigned || highestTerm > term) return Authority.NONE
         if (now < holdUntil) return Authority.FULL
         if (broken) return Authority.NONE
-        if (stateFailing && siblings.isNotEmpty() && toldBySiblings(now) && words.values.none { it.reachesState }) {
+        if (stateFailing && siblings.isNotEmpty() && informedByPeers(now) && heartbeats.values.none { it.reachesState }) {
             return Authority.RENEW_ONLY
         }
         broken = true
@@ -178,7 +178,7 @@
      * Whether every cancellation that users were told of is known here, but for those of the last moments: read from
      * the state service lately, or told by every sibling. A leader that is not must renew no lease.
      */
-    fun informed(now: Instant): Boolean = now - readAt <= times.readingAge || toldBySiblings(now)
+    fun informed(now: Instant): Boolean = now - readAt <= times.readingAge || informedByPeers(now)
 
     /** Whether the reading of the jobs is so new that a task may be started on it. */
     fun mayStart(now: Instant): Boolean = now - readAt <= LeadershipTimes.READING_AGE
@@ -190,10 +190,11 @@
      * Every sibling has lately told all it told its users. What its earlier incarnations told must have been read: they
      * had ended before the present one was first heard, so a reading asked for after that shows it.
      */
-    private fun toldBySiblings(now: Instant): Boolean =
+    private fun informedByPeers(now: Instant): Boolean =
         siblings.all { name ->
-            val word = words[name]
+            val heartbeat = heartbeats[name]
             val since = firstHeard[name]
-            word != null && since != null && word.tellsAll && now - word.at <= times.wordAge && since <= readAt
+            heartbeat != null && since != null && heartbeat.hasAllCancellations && now - heartbeat.at <= times.heartbeatAge &&
+                since <= readAt
         }
 }
--- a/src/main/kotlin/dewwing/control/core/placement/Openings.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
@@ -1,6 +1,6 @@
 package dewwing.control.core.placement
 
-import dewwing.control.core.Effort
+import dewwing.control.core.WorkCounter
 import dewwing.control.core.fleet.Machine
 import dewwing.control.core.job.Job
 import dewwing.protocol.JobSpec
@@ -13,10 +13,10 @@
  * none that is too full for any job that waits. Without it every waiting job looked at every machine in every round,
  * which at a thousand machines and a hundred jobs is more than a small processor share holds.
  */
-class Openings(
+class MachineIndex(
     machines: Collection<Machine>,
     waiting: Collection<Job>,
-    private val effort: Effort,
+    private val workCounter: WorkCounter,
 ) {
     private class Group(
         val type: MachineType,
@@ -47,13 +47,13 @@
                     ?: Group(type, m.zone, m.spot).also(groups::add)
             group.all.add(m)
         }
-        effort.look(machines.size)
+        workCounter.look(machines.size)
         for (group in groups) {
             var least: Resources? = null
             for (job in waiting) if (group.allows(job.spec)) least = least?.let { job.spec.need.least(it) } ?: job.spec.need
             group.roomy = least?.let { need -> group.all.filter { it.free.holds(need) } } ?: emptyList()
         }
-        effort.look(groups.size * waiting.size)
+        workCounter.look(groups.size * waiting.size)
     }
 
     /** Machines of [types], or of any type that [job] may use, that can hold one of its tasks now. */
@@ -65,7 +65,7 @@
         val out = ArrayList<Machine>()
         for (group in groups) {
             if ((types != null && group.type.name !in types) || !group.allows(job.spec)) continue
-            effort.look(group.roomy.size)
+            workCounter.look(group.roomy.size)
             for (m in group.roomy) {
                 if (!m.free.holds(job.spec.need) || !open(m, job) || (job.failedOn.isNotEmpty() && m.id.value in job.failedOn)) continue
                 if (also(m)) out.add(m)
@@ -84,10 +84,10 @@
             if (!group.allows(job.spec)) continue
             val some =
                 group.stoppable.getOrPut(job.spec.urgency) {
-                    effort.look(group.all.size)
+                    workCounter.look(group.all.size)
                     group.all.filter { m -> m in roomySet || m.attempts.values.any { preemption.mayStop(it, job.spec.urgency) } }
                 }
-            effort.look(some.size)
+            workCounter.look(some.size)
             // Room kept where the job has failed before would be used by nobody: it is not placed there.
             for (m in some) if (open(m, job) && m.id.value !in job.failedOn) out.add(m)
         }
@@ -106,7 +106,7 @@
                 groups
                     .filter { it.allows(job.spec) && it.reservedTo < it.nearestFree.size }
                     .minByOrNull { it.nearestFree[it.reservedTo].attempts.size } ?: return
-            effort.look(1)
+            workCounter.look(1)
             val m = group.nearestFree[group.reservedTo++]
             if (!open(m, job) || !reserved.add(m)) continue
             missing -= group.type.size.slots(job.spec.need)
--- a/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
+++ b/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
@@ -15,9 +15,9 @@
      * "How are you, and this is how I am." A leader that has its picture names the revision up to which it has read all
      * jobs; it is to be told of the cancellations after that.
      */
-    data class Word(
+    data class Heartbeat(
         val from: String,
-        val word: PeerWord,
+        val heartbeat: PeerState,
         val jobsKnown: Revision?,
     ) : PeerRequest
 
@@ -38,7 +38,7 @@
  * [leader] is told only by who leads or has just read it from the state service, so that no two controllers keep an
  * old name alive between them.
  */
-data class PeerWord(
+data class PeerState(
     val reachesState: Boolean,
     val highestTerm: Term,
     val leader: String,
@@ -47,8 +47,8 @@
 
 sealed interface PeerAnswer {
     /** [cancellations] is null when not asked for, or when not all of them are known any more. */
-    data class Word(
-        val word: PeerWord,
+    data class Heartbeat(
+        val heartbeat: PeerState,
         val cancellations: List<Cancellation>?,
     ) : PeerAnswer
 
@@ -68,7 +68,7 @@
 /** The frames between controllers: a length, then a tag and its fields, all in Okio buffers. */
 object PeerCodec {
     const val MAX_FRAME = 256 * 1024
-    private const val WORD = 1
+    private const val HEARTBEAT = 1
     private const val COUNTS = 2
     private const val RELAY = 3
     private const val NONE = -1L
@@ -76,10 +76,10 @@
     fun encode(request: PeerRequest): Buffer {
         val b = Buffer()
         when (request) {
-            is PeerRequest.Word -> {
-                b.writeByte(WORD)
+            is PeerRequest.Heartbeat -> {
+                b.writeByte(HEARTBEAT)
                 b.text(request.from)
-                b.word(request.word)
+                b.heartbeat(request.heartbeat)
                 b.writeLong(request.jobsKnown?.value ?: NONE)
             }
 
@@ -101,9 +101,9 @@
     fun encode(answer: PeerAnswer): Buffer {
         val b = Buffer()
         when (answer) {
-            is PeerAnswer.Word -> {
-                b.writeByte(WORD)
-                b.word(answer.word)
+            is PeerAnswer.Heartbeat -> {
+                b.writeByte(HEARTBEAT)
+                b.heartbeat(answer.heartbeat)
                 b.cancellations(answer.cancellations)
             }
 
@@ -127,7 +127,7 @@
     fun decodeRequest(b: Buffer): PeerRequest =
         checked(b) {
             when (val tag = b.readByte().toInt()) {
-                WORD -> PeerRequest.Word(b.text(), b.word(), b.readLong().takeIf { it >= 0 }?.let(::Revision))
+                HEARTBEAT -> PeerRequest.Heartbeat(b.text(), b.heartbeat(), b.readLong().takeIf { it >= 0 }?.let(::Revision))
                 COUNTS -> PeerRequest.Counts(b.text())
                 RELAY -> PeerRequest.Relay(b.text(), b.text(), b.bytes())
                 else -> throw IOException("unknown peer request $tag")
@@ -137,7 +137,7 @@
     fun decodeAnswer(b: Buffer): PeerAnswer =
         checked(b) {
             when (val tag = b.readByte().toInt()) {
-                WORD -> PeerAnswer.Word(b.word(), b.cancellations())
+                HEARTBEAT -> PeerAnswer.Heartbeat(b.heartbeat(), b.cancellations())
                 COUNTS -> PeerAnswer.Counts(b.readByte().toInt() != 0, b.readInt(), b.readInt())
                 RELAY -> PeerAnswer.Relay(b.readInt(), b.readInt(), b.bytes())
                 else -> throw IOException("unknown peer answer $tag")
@@ -157,14 +157,14 @@
         }
     }
 
-    private fun Buffer.word(w: PeerWord) {
+    private fun Buffer.heartbeat(w: PeerState) {
         writeByte(if (w.reachesState) 1 else 0)
         writeLong(w.highestTerm.value)
         text(w.leader)
         writeLong(w.incarnation.value)
     }
 
-    private fun Buffer.word() = PeerWord(readByte().toInt() != 0, Term(readLong()), text(), Incarnation(readLong()))
+    private fun Buffer.heartbeat() = PeerState(readByte().toInt() != 0, Term(readLong()), text(), Incarnation(readLong()))
 
     private fun Buffer.cancellations(list: List<Cancellation>?) {
         writeInt(list?.size ?: NONE.toInt())
--- a/src/main/kotlin/dewwing/control/peer/Peers.kt
+++ b/src/main/kotlin/dewwing/control/peer/Peers.kt
@@ -110,7 +110,7 @@
             val input = socket.openReadChannel()
             val output = socket.openWriteChannel(autoFlush = false)
             while (true) {
-                // A sibling says a word twice a second; a silent connection is a dead one.
+                // A sibling sends a heartbeat twice a second; a silent connection is a dead one.
                 val frame = withTimeoutOrNull(IDLE_MS) { input.frame() } ?: return
                 val answer = handler(PeerCodec.decodeRequest(frame))
                 withTimeoutOrNull(WRITE_MS) { output.frame(PeerCodec.encode(answer)) } ?: return
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -49,13 +49,13 @@
             return relayAnswer
         }
 
-        val toldCancelled = ArrayList<Pair<JobRef, Revision>>()
+        val confirmedCancellations = ArrayList<Pair<JobRef, Revision>>()
 
-        override fun tellsCancelled(
+        override fun onCancellationConfirmed(
             job: JobRef,
             revision: Revision,
         ) {
-            toldCancelled.add(job to revision)
+            confirmedCancellations.add(job to revision)
         }
 
         override suspend fun counts(ref: JobRef): JobCounts? = null
@@ -309,16 +309,16 @@
             val ref = JobRef("job-1")
             assertEquals(201, api.post(Wire.JOBS, job()).status)
             api.get("/api/jobs/job-1")
-            assertEquals(emptyList<Any>(), host.toldCancelled)
+            assertEquals(emptyList<Any>(), host.confirmedCancellations)
             // Carried out, but its answer is lost: the user's repeat finds the job cancelled.
             standIn.loseNext = true
             assertEquals(503, api.post("/api/jobs/job-1/cancel", emptyMap<String, Any?>()).status)
-            assertEquals(emptyList<Any>(), host.toldCancelled)
+            assertEquals(emptyList<Any>(), host.confirmedCancellations)
             assertEquals("aborted", stage(api.post("/api/jobs/job-1/cancel", emptyMap<String, Any?>())))
-            assertEquals(listOf(ref to Revision(2)), host.toldCancelled)
+            assertEquals(listOf(ref to Revision(2)), host.confirmedCancellations)
             assertEquals(201, api.post(Wire.JOBS, job("job-2")).status)
             assertEquals("aborted", stage(api.post("/api/jobs/job-2/cancel", emptyMap<String, Any?>())))
-            assertEquals(JobRef("job-2") to Revision(4), host.toldCancelled.last())
+            assertEquals(JobRef("job-2") to Revision(4), host.confirmedCancellations.last())
             // Cancelled by way of another controller: a question and a repeated submission tell it as well.
             for ((id, ask) in listOf<Pair<String, suspend () -> HttpAnswer>>(
                 "job-3" to { api.get("/api/jobs/job-3") },
@@ -326,12 +326,12 @@
             )) {
                 standIn.values["job/$id"] = mapOf("stage" to "aborted", "at" to 1) to 70L
                 assertEquals("aborted", stage(ask()))
-                assertEquals(JobRef(id) to Revision(70), host.toldCancelled.last())
+                assertEquals(JobRef(id) to Revision(70), host.confirmedCancellations.last())
             }
             // A job that is done was not cancelled.
             standIn.values["job/job-5"] = mapOf("stage" to "done", "at" to 1) to 71L
             assertEquals("done", stage(api.post("/api/jobs/job-5/cancel", emptyMap<String, Any?>())))
-            assertEquals(4, host.toldCancelled.size)
+            assertEquals(4, host.confirmedCancellations.size)
         }
 
     @Test
@@ -390,7 +390,7 @@
                 val told = (ids + "job-999").zip(api.getAll(ids + "job-999"))
                 for (id in changed) assertEquals("aborted", stage(told.single { it.first == id }.second))
                 assertEquals(if (oneKey) 36 else 38, told.count { it.second.status == 200 && stage(it.second) == "queued" })
-                assertTrue(host.toldCancelled.map { it.first.value }.containsAll(changed))
+                assertTrue(host.confirmedCancellations.map { it.first.value }.containsAll(changed))
             }
         }
 
--- a/src/test/kotlin/dewwing/control/core/CoreTest.kt
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -6,10 +6,10 @@
 import dewwing.control.core.job.Job
 import dewwing.control.core.leadership.Authority
 import dewwing.control.core.leadership.Cancellation
+import dewwing.control.core.leadership.ConfirmedCancellations
 import dewwing.control.core.leadership.Leadership
 import dewwing.control.core.leadership.LeadershipTimes
-import dewwing.control.core.leadership.SiblingWord
-import dewwing.control.core.leadership.ToldCancellations
+import dewwing.control.core.leadership.PeerHeartbeat
 import dewwing.control.core.leadership.WorkerWatch
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.quota.Quota
@@ -51,15 +51,15 @@
         readJobs(readAt)
     }
 
-    /** A word that was said and came in at [ms]. */
+    /** A heartbeat that was said and came in at [ms]. */
     private fun Leadership.hear(
         name: String,
         ms: Long,
         reaches: Boolean,
         term: Long = 3,
         life: Long = 1,
-        tellsAll: Boolean = true,
-    ) = heard(name, SiblingWord(at(ms), reaches, Term(term), Incarnation(life), tellsAll), at(ms))
+        hasAllCancellations: Boolean = true,
+    ) = heard(name, PeerHeartbeat(at(ms), reaches, Term(term), Incarnation(life), hasAllCancellations), at(ms))
 
     @Test
     fun `a leader acts while its hold runs, counted from when the renewal was sent`() {
@@ -81,7 +81,7 @@
         assertEquals(Authority.RENEW_ONLY, l.authority(at(2_400), true))
         l.hear("b", 3_000, true)
         assertEquals(Authority.NONE, l.authority(at(3_100), true))
-        // One good word later must not restore it: somebody may have been elected in between.
+        // One good heartbeat later must not restore it: somebody may have been elected in between.
         l.hear("b", 3_200, false)
         assertEquals(Authority.NONE, l.authority(at(3_300), true))
         // A renewal proves that the hold never ended.
@@ -90,7 +90,7 @@
     }
 
     @Test
-    fun `a silent sibling ends the exception within the age of its word, a higher term at once`() {
+    fun `a silent sibling ends the exception within the age of its heartbeat, a higher term at once`() {
         val l = leadership()
         l.elected(Term(3), at(0), readAt = at(2_200))
         l.hear("b", 2_000, false)
@@ -118,25 +118,25 @@
             return l.authority(at(5_000), true)
         }
 
-        fun Leadership.words(
+        fun Leadership.heartbeats(
             b: Boolean = true,
             life: Long = 1,
         ) {
-            hear("b", 4_800, false, tellsAll = b, life = life)
+            hear("b", 4_800, false, hasAllCancellations = b, life = life)
             hear("c", 4_900, false)
         }
-        assertEquals(Authority.RENEW_ONLY, inOutage { words() })
-        // A list that does not fit is no word.
-        assertEquals(Authority.NONE, inOutage { words(b = false) })
+        assertEquals(Authority.RENEW_ONLY, inOutage { heartbeats() })
+        // A list that does not fit is no heartbeat.
+        assertEquals(Authority.NONE, inOutage { heartbeats(b = false) })
         // A sibling that restarted has forgotten what it told its users ...
-        assertEquals(Authority.NONE, inOutage { words(life = 2) })
+        assertEquals(Authority.NONE, inOutage { heartbeats(life = 2) })
         // ... which a reading that was asked for later has shown.
         assertEquals(
             Authority.RENEW_ONLY,
             inOutage {
                 hear("b", 1_500, true, life = 2)
                 readJobs(at(1_500))
-                words(life = 2)
+                heartbeats(life = 2)
             },
         )
         assertEquals(
@@ -144,7 +144,7 @@
             inOutage {
                 hear("b", 1_500, true, life = 2)
                 readJobs(at(1_499))
-                words(life = 2)
+                heartbeats(life = 2)
             },
         )
         // A new term has to read the jobs itself.
@@ -152,14 +152,14 @@
             Authority.NONE,
             inOutage {
                 elected(Term(3), at(2_000))
-                words()
+                heartbeats()
             },
         )
     }
 
     /** Guards against a watch that hangs while the hold is renewed, and against a leader that has not read its picture. */
     @Test
-    fun `a leader whose reading of the jobs is old is informed only by the words of all its siblings`() {
+    fun `a leader whose reading of the jobs is old is informed only by the heartbeats of all its siblings`() {
         val l = leadership()
         l.elected(Term(3), at(0))
         assertFalse(l.informed(at(10)))
@@ -196,13 +196,13 @@
                 )
             val times = LeadershipTimes.of(workers, Span(random.nextLong(1_000, 8_000)), Span(2_500))
             val lease = workers.lease.ms * 1.0005
-            if (times.wordAge.ms > 0) assertTrue(times.wordAge.ms + lease < workers.cancel.ms, "$workers")
+            if (times.heartbeatAge.ms > 0) assertTrue(times.heartbeatAge.ms + lease < workers.cancel.ms, "$workers")
             if (times.readingAge.ms > 0) assertTrue(times.readingAge.ms + lease < workers.cancel.ms, "$workers")
             if (times.mayInherit) assertTrue(times.readingAge.ms + 2 * lease < workers.cancel.ms, "$workers")
         }
         val short = LeadershipTimes.of(leaseOf10, Span(2_500), Span(2_500))
         assertTrue(short.mayInherit)
-        assertEquals(Span(2_500), short.wordAge)
+        assertEquals(Span(2_500), short.heartbeatAge)
         // Two leases of 22 s do not fit into 42 s.
         val long = LeadershipTimes.of(WorkerTimes(Span(4_000), Span(22_000), Span(1), Span(1), Span(42_000)), Span(2_500), Span(2_500))
         assertFalse(long.mayInherit)
@@ -217,21 +217,21 @@
     @Test
     fun `told cancellations are listed from any revision on, or not at all once some were dropped`() {
         val random = Random(5)
-        val told = ToldCancellations(limit = 20)
+        val confirmed = ConfirmedCancellations(limit = 20)
         val all = ArrayList<Cancellation>()
         repeat(200) {
             // Noted out of order, and again by later reads.
             val c = Cancellation(JobRef("job-$it"), Revision(it * 3L + random.nextLong(0, 30)))
             all.add(c)
-            told.note(c)
-            told.note(all[random.nextInt(all.size)])
+            confirmed.note(c)
+            confirmed.note(all[random.nextInt(all.size)])
             val known = Revision(random.nextLong(0, 700))
             val newer = all.filter { a -> a.revision > known }.toSet()
-            val list = told.since(known)
+            val list = confirmed.since(known)
             if (list == null) assertTrue(newer.size > 0 && all.size > 20) else assertEquals(newer, list.toSet())
         }
-        assertEquals(null, told.since(Revision(0)))
-        assertEquals(emptyList<Cancellation>(), told.since(Revision(700)))
+        assertEquals(null, confirmed.since(Revision(0)))
+        assertEquals(emptyList<Cancellation>(), confirmed.since(Revision(700)))
     }
 
     /**
--- a/src/test/kotlin/dewwing/control/core/GrowthTest.kt
+++ b/src/test/kotlin/dewwing/control/core/GrowthTest.kt
@@ -72,7 +72,7 @@
 
         /** One report of machine [i], its answer carried out. */
         fun report(i: Int): Long {
-            val before = scheduler.effort.looks
+            val before = scheduler.workCounter.looks
             val r =
                 Report(
                     MachineId("m-%05d".format(i)),
@@ -90,14 +90,14 @@
             for (c in scheduler.commands(r, Instant(now), true)) {
                 if (c is Command.Launch) held[i][c.task] = ReportedTask(c.task, c.attempt, TaskStage.RUNNING, null, false)
             }
-            return scheduler.effort.looks - before
+            return scheduler.workCounter.looks - before
         }
 
         fun round(): Long {
             now += 200
-            val before = scheduler.effort.looks
+            val before = scheduler.workCounter.looks
             val effects = scheduler.round(Instant(now)) { true }
-            val looks = scheduler.effort.looks - before
+            val looks = scheduler.workCounter.looks - before
             if (effects.any { it is Effect.Write }) scheduler.onWritten(Revision(++revision), Instant(now))
             return looks
         }
--- a/src/test/kotlin/dewwing/protocol/FormatsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -8,7 +8,7 @@
 import dewwing.control.peer.PeerAnswer
 import dewwing.control.peer.PeerCodec
 import dewwing.control.peer.PeerRequest
-import dewwing.control.peer.PeerWord
+import dewwing.control.peer.PeerState
 import okio.Buffer
 import org.junit.jupiter.api.Assertions.assertArrayEquals
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -204,14 +204,14 @@
 
     @Test
     fun `messages between controllers survive their frames, and garbage is an IOException`() {
-        val word = PeerWord(true, Term(7), "n-1", Incarnation(-5))
+        val heartbeat = PeerState(true, Term(7), "n-1", Incarnation(-5))
         for (known in listOf(null, Revision(0), Revision(412))) {
-            val asked = PeerRequest.Word("n-0", word, known)
+            val asked = PeerRequest.Heartbeat("n-0", heartbeat, known)
             assertEquals(asked, PeerCodec.decodeRequest(PeerCodec.encode(asked)))
         }
         // Asked for but incomplete is something else than none.
         for (list in listOf(null, emptyList(), List(300) { Cancellation(JobRef("job-$it"), Revision(it + 9L)) })) {
-            val said = PeerAnswer.Word(word, list)
+            val said = PeerAnswer.Heartbeat(heartbeat, list)
             assertEquals(said, PeerCodec.decodeAnswer(PeerCodec.encode(said)))
         }
         assertEquals(PeerAnswer.Counts(true, 2, 3), PeerCodec.decodeAnswer(PeerCodec.encode(PeerAnswer.Counts(true, 2, 3))))
--- a/src/test/kotlin/dewwing/world/MeetingsTest.kt
+++ b/src/test/kotlin/dewwing/world/MeetingsTest.kt
@@ -62,8 +62,8 @@
     }
 
     @Test
-    fun `a leader that does not heed the words of its siblings is caught in the gap`() {
-        val broken = (1L..30L).flatMap { play(it, gap(betweenMs = 200 + it * 80), World.Tamper.DEAF_TO_WORDS).rules.broken }
+    fun `a leader that does not heed the heartbeats of its siblings is caught in the gap`() {
+        val broken = (1L..30L).flatMap { play(it, gap(betweenMs = 200 + it * 80), World.Tamper.IGNORE_HEARTBEATS).rules.broken }
         assertTrue(broken.any { it.startsWith("ran_cancelled") }, "$broken")
     }
 
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -13,10 +13,10 @@
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.leadership.Authority
 import dewwing.control.core.leadership.Cancellation
+import dewwing.control.core.leadership.ConfirmedCancellations
 import dewwing.control.core.leadership.Leadership
 import dewwing.control.core.leadership.LeadershipTimes
-import dewwing.control.core.leadership.SiblingWord
-import dewwing.control.core.leadership.ToldCancellations
+import dewwing.control.core.leadership.PeerHeartbeat
 import dewwing.protocol.CloudLimits
 import dewwing.protocol.Command
 import dewwing.protocol.EndCause
@@ -49,253 +49,6 @@
 import java.util.PriorityQueue
 import kotlin.random.Random
 
-/** Tells broken rules of the protocol from what really happens on machines and is said to users. */
-class Rules(
-    private val teamCaps: Map<String, Double>,
-    private val cancelMs: Long,
-) {
-    val broken = ArrayList<String>()
-    private val onMachine = HashMap<TaskRef, MachineId>()
-    private val specs = HashMap<JobRef, JobSpec>()
-    private val use = HashMap<String, Double>()
-    private val cancelledAt = HashMap<JobRef, Long>()
-    private val told = HashMap<JobRef, JobStage>()
-    private val completed = HashMap<JobRef, MutableSet<Int>>()
-
-    fun accepted(
-        spec: JobSpec,
-        now: Long,
-    ) {
-        specs[spec.ref] = spec
-        acceptedAt[spec.ref] = now
-    }
-
-    fun starts(
-        task: TaskRef,
-        machine: MachineId,
-        type: String,
-        zone: String,
-        spot: Boolean,
-        now: Long,
-    ) {
-        val spec = specs[task.job]
-        if (spec == null) {
-            broken.add("invented: $task starts")
-            return
-        }
-        begunAt.putIfAbsent(task.job, now)
-        onMachine.put(task, machine)?.let { broken.add("ran_twice: $task on $it and $machine at $now") }
-        val sum = (use[spec.team] ?: 0.0) + spec.need.cores
-        use[spec.team] = sum
-        if (sum > (teamCaps[spec.team] ?: 1e9) + 1e-6) broken.add("quota: ${spec.team} uses $sum at $now")
-        if ((spec.types != null && type !in spec.types) || (spec.zone != null && spec.zone != zone) || (spot && !spec.spot)) {
-            broken.add("wrong_place: $task on $type $zone at $now")
-        }
-        if (spec.oneZone && onMachine.keys.any { it.job == task.job && zones[onMachine[it]] != zone }) {
-            broken.add("wrong_place: $task in $zone away from the others at $now")
-        }
-        cancelledAt[task.job]?.let { if (now > it + cancelMs) broken.add("ran_cancelled: $task starts at $now") }
-    }
-
-    val zones = HashMap<MachineId, String>()
-
-    fun leaves(
-        task: TaskRef,
-        machine: MachineId,
-    ) {
-        if (onMachine[task] != machine) return
-        onMachine.remove(task)
-        specs[task.job]?.let { use[it.team] = (use[it.team] ?: 0.0) - it.need.cores }
-    }
-
-    private val acceptedAt = HashMap<JobRef, Long>()
-    private val begunAt = HashMap<JobRef, Long>()
-    private val answeredAt = HashMap<JobRef, Long>()
-
-    /** A user asked about [job]. Once troubles are over, 75 s without any answer mean that it is forgotten. */
-    fun asked(
-        job: JobRef,
-        answered: Boolean,
-        now: Long,
-        troublesOver: Long,
-    ) {
-        if (answered || now < troublesOver) {
-            answeredAt[job] = now
-            return
-        }
-        val since = maxOf(answeredAt[job] ?: 0L, troublesOver)
-        if (now - since >= FORGOTTEN_MS &&
-            broken.none { it.startsWith("forgotten: $job") }
-        ) {
-            broken.add("forgotten: $job unanswered since $since")
-        }
-    }
-
-    /**
-     * The day as its users see it: half of each class, of each team and of each class's largest jobs is served, and
-     * the largest begin within four minutes. Cancelled jobs do not count.
-     */
-    fun served(): List<String> {
-        val out = ArrayList<String>()
-        val counted = specs.values.filter { it.ref !in cancelledAt }
-
-        fun half(
-            what: String,
-            jobs: List<JobSpec>,
-        ) {
-            val done = jobs.count { (completed[it.ref]?.size ?: 0) == it.tasks }
-            if (done * 2 < jobs.size) out.add("$what: $done of ${jobs.size} served")
-        }
-        for ((team, jobs) in counted.groupBy { it.team }) half("team $team", jobs)
-        for ((jobClass, jobs) in counted.groupBy { it.jobClass }) {
-            half("class $jobClass", jobs)
-            val largest = jobs.sortedByDescending { it.tasks }.take(maxOf(1, jobs.size / 8))
-            half("largest of $jobClass", largest)
-            for (j in largest) {
-                val waited = (begunAt[j.ref] ?: Long.MAX_VALUE) - (acceptedAt[j.ref] ?: 0L)
-                if (waited > LARGEST_BEGIN_MS) out.add("${j.ref}, of the largest of $jobClass, begins after $waited ms")
-            }
-        }
-        return out
-    }
-
-    fun completes(task: TaskRef) {
-        completed.getOrPut(task.job) { HashSet() }.add(task.index)
-    }
-
-    /** The start command was handed to a worker; the time for a watch or a word to arrive is left. */
-    fun launched(
-        task: TaskRef,
-        now: Long,
-    ) {
-        cancelledAt[task.job]?.let { if (now > it + TOLD_MS) broken.add("started_cancelled: $task handed out ${now - it} ms after") }
-    }
-
-    private val roomSince = HashMap<JobRef, Long>()
-
-    /** Whether a job that still waits could be placed [now]; once troubles are over it must not for 90 s. */
-    fun waits(
-        job: JobRef,
-        withRoom: Boolean,
-        now: Long,
-    ) {
-        if (!withRoom) {
-            roomSince.remove(job)
-            return
-        }
-        val since = roomSince.getOrPut(job) { now }
-        if (now - since >= WAITED_MS && broken.none { it.startsWith("waits: $job ") }) broken.add("waits: $job with room since $since")
-    }
-
-    fun use(team: String): Double = use[team] ?: 0.0
-
-    fun done(task: TaskRef): Boolean = task.index in (completed[task.job] ?: emptySet())
-
-    fun complete(job: JobRef): Boolean = (completed[job]?.size ?: 0) == specs[job]?.tasks
-
-    fun check(now: Long) {
-        for (task in onMachine.keys) {
-            cancelledAt[task.job]?.let { if (now > it + cancelMs) broken.add("ran_cancelled: $task on a machine at $now") }
-        }
-    }
-
-    fun cancelTold(
-        job: JobRef,
-        now: Long,
-    ) {
-        cancelledAt.putIfAbsent(job, now)
-        tells(job, JobStage.ABORTED)
-    }
-
-    fun tells(
-        job: JobRef,
-        stage: JobStage?,
-    ) {
-        val spec = specs[job]
-        if (stage == null) {
-            if (spec != null) broken.add("forgotten: $job")
-            return
-        }
-        if (spec == null) {
-            broken.add("invented: $job")
-            return
-        }
-        val before = told[job]
-        if ((before == JobStage.DONE || before == JobStage.ABORTED) && before != stage) broken.add("went_back: $job $before $stage")
-        if (stage == JobStage.DONE && (completed[job]?.size ?: 0) < spec.tasks) broken.add("not_done: $job")
-        told[job] = stage
-    }
-
-    companion object {
-        private const val FORGOTTEN_MS = 75_000L
-        private const val WAITED_MS = 90_000L
-
-        /** Words come every half second, a watch that hangs is noticed after six. */
-        private const val TOLD_MS = 3_000L
-        private const val LARGEST_BEGIN_MS = 240_000L
-    }
-}
-
-/** A trouble that a meeting puts at a chosen moment. */
-enum class Kind {
-    REFUSED_ALONE,
-    OUTAGE,
-    CANCEL_NOW,
-    CANCEL_AT_END,
-    LATE_WRITES,
-    WATCH_HANGS,
-    DEAF,
-    MUTE,
-    HANG,
-    CUT,
-    ZONE_CUT,
-    FREEZE,
-    CRASH,
-    ALL_CRASH,
-    ROLL,
-    LONE,
-    DIE,
-    AWAY,
-}
-
-/** [kind] begins [atMs] into the history and lasts [forMs]. */
-data class Met(
-    val kind: Kind,
-    val atMs: Long,
-    val forMs: Long,
-)
-
-/** What may go wrong, and how often. */
-data class Trouble(
-    val crashEveryMs: Long = 20_000,
-    val loseAnswer: Double = 0.05,
-    val lateCommit: Double = 0.03,
-    val cutEveryMs: Long = 15_000,
-    val hangEveryMs: Long = 30_000,
-    val takeEveryMs: Long = 40_000,
-    val errorShare: Double = 0.02,
-    /** A machine's reports arrive, but neither answers nor commands reach it. */
-    val deafEveryMs: Long = 45_000,
-    /** Share of reports of which a copy comes again, seconds to well over a lease later. */
-    val lateCopy: Double = 0.05,
-    /** A controller loses the state service and its siblings, but not its workers. */
-    val loneEveryMs: Long = 30_000,
-    /** Least time after which a crashed controller is back. */
-    val backMs: Long = 50,
-    /** A third of all machines at once is cut, hangs or dies. */
-    val massEveryMs: Long = NEVER,
-    /** All controllers are restarted one after the other. */
-    val rollEveryMs: Long = NEVER,
-    /** The longest time that a new leader takes to read the state service; it answers reports meanwhile. */
-    val rebuildMs: Long = 0,
-    /** Share of jobs that fail on every machine until their users end them. */
-    val mistaken: Double = 0.0,
-) {
-    companion object {
-        const val NEVER = Long.MAX_VALUE / 64
-    }
-}
-
 /**
  * The state service, the cloud, the workers and controllers' lives in virtual time, written from the protocol.
  *
@@ -323,7 +76,7 @@
         STARVE_LARGE,
         LEAD_ALONE,
         OLD_BOOKS,
-        DEAF_TO_WORDS,
+        IGNORE_HEARTBEATS,
         STARVE_BESIDE_ROOM,
     }
 
@@ -640,7 +393,7 @@
     /** The last term whose leader had its picture. */
     private var readyTerm = 0L
 
-    /** One controller with its real [Leadership], words and [Scheduler]; what carries them is written from the protocol. */
+    /** One controller with its real [Leadership], heartbeats and [Scheduler]; what carries them is written from the protocol. */
     private inner class Controller(
         val n: Int,
     ) {
@@ -661,7 +414,7 @@
         /** Until then it does nothing at all. */
         var frozenUntil = 0L
         private var leadership = leadershipOf()
-        private var told = ToldCancellations()
+        private var confirmed = ConfirmedCancellations()
         private var incarnation = Incarnation(random.nextLong())
 
         /** Elected, but still reading. */
@@ -698,7 +451,7 @@
                 scheduler ?: return (term to emptyList<Command>()).takeIf {
                     tamper == Tamper.OLD_BOOKS || (authority == Authority.FULL && leadership.mayInherit(predecessorReady))
                 }
-            if (tamper != Tamper.LEAD_ALONE && tamper != Tamper.DEAF_TO_WORDS && !leadership.informed(instant())) return null
+            if (tamper != Tamper.LEAD_ALONE && tamper != Tamper.IGNORE_HEARTBEATS && !leadership.informed(instant())) return null
             s.onReport(r, instant())
             val fresh = now - answeredAt <= 1_200 && leadership.mayStart(instant())
             var commands = s.commands(r, instant(), mayStart = authority == Authority.FULL && (fresh || tamper == Tamper.LEAD_ALONE))
@@ -760,7 +513,7 @@
             leadership.readJobs(Instant(askedAt))
         }
 
-        /** Asks each sibling for its word twice a second, as the adapter does. */
+        /** Asks each sibling for its heartbeat twice a second, as the adapter does. */
         fun talk(myLife: Int) {
             if (myLife != life) return
             after(random.nextLong(400, 700)) { talk(myLife) }
@@ -773,15 +526,15 @@
                 after(random.nextLong(1, 40)) {
                     if (!other.awake || now < other.loneUntil) return@after
                     other.leadership.heardTerm(leadership.highestTerm)
-                    val list = if (tamper == Tamper.DEAF_TO_WORDS) emptyList() else known?.let { other.told.since(it) }
+                    val list = if (tamper == Tamper.IGNORE_HEARTBEATS) emptyList() else known?.let { other.confirmed.since(it) }
                     val reaches = stateAnswers(other)
                     val highest = other.leadership.highestTerm
                     val said = other.incarnation
                     after(random.nextLong(1, 40)) {
                         if (life != myLife || !awake || now < loneUntil) return@after
                         for (c in list ?: emptyList()) scheduler?.onCancelled(c.job, c.revision, instant())
-                        val tellsAll = list != null && askedIn == term.takeIf { leads }
-                        leadership.heard("${other.n}", SiblingWord(Instant(sent), reaches, highest, said, tellsAll), instant())
+                        val hasAllCancellations = list != null && askedIn == term.takeIf { leads }
+                        leadership.heard("${other.n}", PeerHeartbeat(Instant(sent), reaches, highest, said, hasAllCancellations), instant())
                     }
                 }
             }
@@ -956,7 +709,7 @@
             up = false
             // What it told its users dies with it.
             leadership = leadershipOf()
-            told = ToldCancellations()
+            confirmed = ConfirmedCancellations()
             incarnation = Incarnation(random.nextLong())
             val mine = life
             after(backMs) {
@@ -973,7 +726,7 @@
             if (!awake || !stateAnswers(this)) return null
             val (value, mark) = store[Keys.job(ref)] ?: return null
             val stage = JobRecord.of(value).stage
-            if (stage == JobStage.ABORTED) tellsCancelled(ref, Revision(mark))
+            if (stage == JobStage.ABORTED) onCancellationConfirmed(ref, Revision(mark))
             return stage
         }
 
@@ -992,15 +745,15 @@
                 return null
             }
             if (commit(c) != null || random.nextDouble() < trouble.loseAnswer) return null
-            tellsCancelled(ref, Revision(tide))
+            onCancellationConfirmed(ref, Revision(tide))
             return JobStage.ABORTED
         }
 
-        private fun tellsCancelled(
+        private fun onCancellationConfirmed(
             ref: JobRef,
             revision: Revision,
         ) {
-            told.note(Cancellation(ref, revision))
+            confirmed.note(Cancellation(ref, revision))
             scheduler?.onCancelled(ref, revision, instant())
         }
     }
