--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -161,6 +161,35 @@
         assertEquals(JobRef("job-1"), launch.task.job)
     }
 
+    /** Guards jobs that wait for a machine which never joins, and against paying for it twice as long as it takes to know. */
+    @Test
+    fun `a machine that does not come up is replaced once, then returned, and one that comes late is used`() {
+        submit(spec(1, "c", Urgency.STANDARD, JobShape.ARRAY, half))
+        val rentedAt = ArrayList<Long>()
+        val released = HashMap<String, Long>()
+        while (now < 300_000) {
+            for (effect in round()) {
+                if (effect is Effect.Rent) {
+                    rentedAt.add(now)
+                    scheduler.onRented(effect.key, List(effect.order.count) { MachineId("m-${rentedAt.size}$it") }, Instant(now))
+                }
+                if (effect is Effect.Release) {
+                    effect.machines.forEach { released[it.value] = now }
+                    scheduler.onReleased(effect.machines, Instant(now))
+                }
+            }
+        }
+        val bootMs = (type.bootS * 1_000).toLong()
+        assertEquals(3, rentedAt.size, "$rentedAt")
+        for (gap in rentedAt.zipWithNext { a, b -> b - a }) assertTrue(gap in 2 * bootMs..2 * bootMs + 15_000, "$rentedAt")
+        assertEquals(setOf("m-10"), released.keys)
+        assertTrue(released.getValue("m-10") - rentedAt[0] in 4 * bootMs..4 * bootMs + 15_000, "$released")
+        // The second machine, long counted out, comes after all.
+        report("m-20")
+        round()
+        assertTrue(report("m-20").any { it is Command.Launch })
+    }
+
     /** An order of an older leader may have been answered to that leader, which may have started tasks there. */
     @Test
     fun `a machine of an older leader's order gets nothing before it knows our term`() {
