Quiet watches of the jobs return in time for the age a leader may act on

Ruled out: a lost write (changes went on being applied), a lost hold (the term never ended), the worker watch (no hand-over logged). Now two intervals and a second lie within the age, at most 3 s. Test: generated settings, watches with answers up to 450 ms late.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -145,7 +145,7 @@
             log.warn(
                 "workers.cancel_s leaves no room beyond workers.lease_s: an outage of the state service costs the leases of all running work",
             )
-        } else if (times.readingAge.ms < Leader.READING_EVERY_MS) {
+        } else if (!times.readingsSuffice) {
             log.warn("workers.cancel_s leaves little room beyond workers.lease_s: leases are renewed only while all siblings are heard")
         }
     }
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -259,7 +259,7 @@
         while (true) {
             try {
                 val asked = clock.now()
-                when (val result = state.follow(Keys.JOBS, since, Span(READING_EVERY_MS))) {
+                when (val result = state.follow(Keys.JOBS, since, leadership.times.readingEvery)) {
                     is FollowResult.Changes -> {
                         result.entries.forEach(::jobChanged)
                         since = result.revision
@@ -287,6 +287,7 @@
     private suspend fun watchCloud() {
         var typesAt = clock.now() + Span(-TYPES_EVERY_MS)
         var stored: List<MachineType>? = null
+        var listEveryMs = CloudClient.listEveryMs(0, core.cloud.requestsPerS)
         while (true) {
             try {
                 if ((clock.now() - typesAt).ms >= TYPES_EVERY_MS) {
@@ -297,13 +298,14 @@
                     if (stored == null) stored = storeTypes(types)
                 }
                 val list = cloud.machines()
+                listEveryMs = CloudClient.listEveryMs(list.size, core.cloud.requestsPerS)
                 scheduler?.onList(list, clock.now())
             } catch (e: IOException) {
                 log.info("cloud: {}", e.message)
             } catch (e: MalformedException) {
                 log.warn("cloud answered nonsense: {}", e.message)
             }
-            delay(LIST_EVERY_MS)
+            delay(listEveryMs)
         }
     }
 
@@ -429,9 +431,6 @@
         private const val RENEW_RETRY_MS = 150L
         private const val RETRY_MS = 250L
 
-        /** A watch returns at least so often, so that a hanging one is noticed while there is time to ask again. */
-        const val READING_EVERY_MS = 4_000L
-        private const val LIST_EVERY_MS = 4_000L
         private const val TYPES_EVERY_MS = 20_000L
         private const val ROUND_MIN_MS = 100L
         private const val ROUND_MAX_MS = 300L
--- a/src/main/kotlin/dewwing/control/cloud/CloudClient.kt
+++ b/src/main/kotlin/dewwing/control/cloud/CloudClient.kt
@@ -90,6 +90,20 @@
 
     companion object {
         private const val PAGE = 500
+        private const val SHORTEST_LIST_PAUSE_MS = 4_000L
+
+        /** Listing takes at most this part of the cloud's rate; rentals and releases need the rest. */
+        private const val LIST_SHARE = 0.25
+
+        /** Time between two lists of a fleet of [machines]: a large fleet's list takes many calls. */
+        fun listEveryMs(
+            machines: Int,
+            requestsPerS: Double,
+        ): Long {
+            val pages = machines / PAGE + 1
+            return maxOf(SHORTEST_LIST_PAUSE_MS, (pages * 1_000 / (requestsPerS * LIST_SHARE)).toLong())
+        }
+
         private const val CALL_MS = 5_000L
     }
 }
--- a/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
@@ -40,6 +40,18 @@
     /** A leader that has not read its picture yet may renew leases if its predecessor had one. */
     val mayInherit: Boolean,
 ) {
+    /**
+     * How long a watch of the jobs may stay open without a change. Its answer proves only what was so when it was asked
+     * for, and it counts until the next one's answer: two intervals and the answer's way must lie within [readingAge]. A
+     * fixed 4 s left a leader with a sibling down uninformed for most of the time where the settings leave less than 8 s:
+     * it turned its workers away, and their leases ran out again and again (checks of real processes, 0.4.0 and 0.5.0).
+     */
+    val readingEvery: Span
+        get() = Span(((readingAge.ms - READING_SLACK_MS) / 2).coerceIn(SHORTEST_READING_MS, LONGEST_READING_MS))
+
+    /** Whether quiet watches alone keep the leader informed, as long as the state service answers them. */
+    val readingsSuffice: Boolean get() = readingEvery.ms * 2 + READING_SLACK_MS <= readingAge.ms
+
     companion object {
         /**
          * From the settings: whatever a leader has not heard of, the last renewal it gives in ignorance plus a lease
@@ -74,6 +86,11 @@
         private const val LEASE_SLACK_MS = 250L
         private const val HOLD_MARGIN_MS = 250L
 
+        /** A watch's way there and back; the state service now and then takes a few hundred milliseconds. */
+        private const val READING_SLACK_MS = 1_000L
+        private const val SHORTEST_READING_MS = 250L
+        private const val LONGEST_READING_MS = 3_000L
+
         /** From the look at the authority to the answer: the process may be short of processor time. */
         private val ANSWER = Span(1_000)
 
@@ -94,7 +111,7 @@
  * [informed], and gives that up early enough for a lease to run out within the time that a cancellation has.
  */
 class Leadership(
-    private val times: LeadershipTimes,
+    val times: LeadershipTimes,
     private val siblings: Set<String>,
 ) {
     var term: Term = Term.NONE
--- a/src/test/kotlin/dewwing/control/core/CoreTest.kt
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -157,6 +157,30 @@
         )
     }
 
+    /**
+     * Guards against a leader with a sibling down that is uninformed between the answers of its own quiet watches: it sent
+     * its workers away until their leases ran out (check of real processes: lease of 6 s, 8 of 8 tasks run, job "queued").
+     */
+    @Test
+    fun `quiet watches alone keep a leader informed where the settings leave two seconds`() {
+        val random = Random(3)
+        repeat(300) {
+            val lease = random.nextLong(2_000, 25_000)
+            val cancel = lease + lease / 1_000 + 1_250 + random.nextLong(2_000, 20_000)
+            val times = LeadershipTimes.of(leaseOf10.copy(lease = Span(lease), cancel = Span(cancel)), Span(2_500), Span(2_500))
+            val l = Leadership(times, setOf("b", "c"))
+            l.elected(Term(3), at(0), readAt = at(0))
+            var asked = 0L
+            repeat(20) {
+                val answered = asked + times.readingEvery.ms + random.nextLong(5, 450)
+                assertTrue(l.informed(at(answered)), "lease $lease ms, cancel $cancel ms, reading every ${times.readingEvery.ms} ms")
+                l.readJobs(at(asked))
+                asked = answered + random.nextLong(0, 50)
+            }
+            assertTrue(times.readingsSuffice)
+        }
+    }
+
     /** Guards against a watch that hangs while the hold is renewed, and against a leader that has not read its picture. */
     @Test
     fun `a leader whose reading of the jobs is old is informed only by the heartbeats of all its siblings`() {
