Deadlines, gangs of whole machines, and names and lists for thousands of machines

Rentals and releases get names that never meet those of another term; heartbeats carry 4,096 cancellations; growth tests at 4,000 machines.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -11,12 +11,14 @@
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.job.Attempt
 import dewwing.control.core.job.AttemptPhase
+import dewwing.control.core.job.ClassAims
 import dewwing.control.core.job.Job
 import dewwing.control.core.leadership.LeadershipTimes
 import dewwing.control.core.placement.MachineIndex
 import dewwing.control.core.placement.Placement
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.placement.Preemption
+import dewwing.control.core.placement.Preference
 import dewwing.control.core.placement.Room
 import dewwing.control.core.quota.Quota
 import dewwing.protocol.Command
@@ -86,8 +88,9 @@
     private val gcQueue = ArrayDeque<Pair<Instant, String>>()
     private var batch: Batch? = null
     private val effects = ArrayList<Effect>()
-    private val fleet = Fleet(settings, term, machines, types, quota, workCounter, startedAt)
-    private val preemption = Preemption(quota, fleet::fetchS)
+    private val aims = ClassAims(settings.objectives)
+    private val fleet = Fleet(settings, term, machines, types, quota, workCounter, aims, startedAt)
+    private val preemption = Preemption(quota, fleet::fetchS, ::canMeetDeadline)
 
     /**
      * Answers that are in no book here may keep a worker's lease alive until then: those of older leaders, and our
@@ -856,6 +859,7 @@
         val takers = machines.values.filter { it.accepts && now - it.heardAt <= silenceSpan }
         workCounter.look(machines.size)
         val machineIndex = MachineIndex(takers, waitingJobs, workCounter)
+        ordinaryIsScarce = order.any { it.isGang && !it.spec.spot }
         for (i in from until order.size) {
             val job = order[i]
             if (b.ops >= room) return
@@ -865,26 +869,25 @@
             }
             if (job !in waitingJobs || now < job.notBefore) continue
             if (Keys.job(job.ref) in b.conditions) continue
-            val urgent = job.madeRoomAt == null && job.live.isEmpty() && !job.isSuspect && fleet.cannotWaitForBoot(job.spec)
+            val urgent = needsRoomNow(job, now)
             var placements = emptyList<Placement>()
             if (urgent && fleet.fetchMissesStart(job.spec)) {
                 // Fetching its image alone would make it late: machines that have it come first, made free if need be.
-                placements = choose(job, machineIndex) { job.spec.image in it.images }
+                placements = choose(job, machineIndex, now) { job.spec.image in it.images }
                 if (placements.isEmpty() &&
                     makeRoom(job, machineIndex.stoppableFor(job, preemption).filter { job.spec.image in it.images }, now)
                 ) {
                     continue
                 }
             }
-            if (placements.isEmpty()) placements = choose(job, machineIndex)
+            if (placements.isEmpty()) placements = choose(job, machineIndex, now)
             if (placements.isEmpty()) {
                 if (urgent) {
                     makeRoom(job, machineIndex.stoppableFor(job, preemption), now)
                 } else if (wantsGuaranteedRoom(job, now)) {
                     makeGuaranteedRoom(job, machineIndex.stoppableFor(job, preemption), now)
                 }
-                // Lower ranks must not take the machine that this gang is next to get.
-                if (job.isGang && job.live.isEmpty() && !job.isSuspect && quota.room(job.spec) >= job.spec.tasks) machineIndex.reserve(job)
+                if (mayReserve(job)) machineIndex.reserve(job)
                 continue
             }
             logStep(b, job, placements, now)
@@ -909,8 +912,8 @@
         val late =
             order.filter { job ->
                 job in waitingJobs && !job.isGang && !job.isSuspect && job.spec.need.accelerators <= 0 && now >= job.notBefore &&
-                    (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0 >=
-                    fleet.horizonS(job.spec.jobClass, job.spec.estimateS) * OVERFLOW_AFTER
+                    ageS(job, now) >=
+                    aims.horizonS(job.spec.jobClass, ClassAims.runS(job.spec)) * OVERFLOW_AFTER
             }
         if (late.isEmpty()) return
         val idle =
@@ -932,6 +935,9 @@
         }
     }
 
+    /** Gangs are open that may use ordinary machines only: other gangs leave those to them where they can. */
+    private var ordinaryIsScarce = false
+
     /** Machines that the largest job seen so far which cannot wait for a boot would take. */
     private var standingRoom = 0
 
@@ -948,13 +954,42 @@
         if (fleet.cannotWaitForBoot(spec)) fleet.urgentArrived(spec, now)
     }
 
+    /** Whether [job] has a deadline and can still meet one of its class's aims for it if its tasks go on. */
+    private fun canMeetDeadline(
+        job: Job,
+        now: Instant,
+    ): Boolean = aims.canMeetDeadline(job.spec, ageS(job, now), ClassAims.runS(job.spec))
+
+    private fun ageS(
+        job: Job,
+        now: Instant,
+    ): Double = (now.ms + wallOffsetMs - job.submittedAtMs) / 1000.0
+
+    /**
+     * Whether other work is to be stopped for [job] rather than a machine waited for: its class's aim is shorter than a
+     * boot, or it is a gang that has waited so long that a boot would make it late. Where the cloud has no machines
+     * left, a gang of whole machines would otherwise wait until the small tasks on one of them happen to end together.
+     */
+    private fun needsRoomNow(
+        job: Job,
+        now: Instant,
+    ): Boolean {
+        if (job.madeRoomAt != null || job.live.isNotEmpty() || job.isSuspect) return false
+        if (now - job.roomSoughtAt < SEEK_ROOM_EVERY) return false
+        return fleet.cannotWaitForBoot(job.spec) || (job.isGang && fleet.bootMissesStart(job.spec, ageS(job, now)))
+    }
+
+    /** Lower ranks must not take the machines that this gang is next to get. */
+    private fun mayReserve(job: Job): Boolean = job.isGang && job.live.isEmpty() && !job.isSuspect && quota.room(job.spec) >= job.spec.tasks
+
     private fun releaseKept(now: Instant) {
         for (m in machines.values) {
             val job = m.keptFor ?: continue
             if (m.accepts && job.isOpen && (awaitsUrgentRoom(job, now) || awaitsGuaranteedRoom(job, now))) continue
             m.keptFor = null
-            if (!awaitsUrgentRoom(job, now)) job.madeRoomAt = null
         }
+        // Also when every machine whose room was kept is gone by now: until then the job has no claim on other room.
+        for (job in waitingJobs) if (!awaitsUrgentRoom(job, now)) job.madeRoomAt = null
     }
 
     private fun awaitsUrgentRoom(
@@ -977,7 +1012,8 @@
         now: Instant,
     ): Boolean {
         workCounter.look(allowed.size)
-        val best = preemption.plan(job.spec, allowed, now)
+        job.roomSoughtAt = now
+        val best = preemption.plan(job, allowed, now)
         if (best.isEmpty()) return false
         job.madeRoomAt = now
         for (room in best) room.machine.keptFor = job
@@ -985,14 +1021,30 @@
         return true
     }
 
+    private fun stop(
+        a: Attempt,
+        now: Instant,
+    ) {
+        if (a.killGraceS != null) return
+        a.job.madeWay.addTo(a.task, 1)
+        if (a.neverSent) drop(a, now) else kill(a, if (a.job.spec.checkpointS > 0) a.job.spec.saveS else 0.0)
+    }
+
     private fun stopVictims(
         job: Job,
         rooms: List<Room>,
         now: Instant,
     ) {
         for (a in rooms.flatMap { it.victims }) {
-            a.job.madeWay.addTo(a.task, 1)
-            if (a.neverSent) drop(a, now) else kill(a, if (a.job.spec.checkpointS > 0) a.job.spec.saveS else 0.0)
+            // Half a gang is worth nothing: all of it stops, and saves together.
+            val stopped =
+                if (a.job.isGang) {
+                    a.job.live.values
+                        .toList()
+                } else {
+                    listOf(a)
+                }
+            for (part in stopped) stop(part, now)
         }
         log.info("job {} makes room: {} tasks stopped on {}", job.ref, rooms.sumOf { it.victims.size }, rooms.map { it.machine.id })
     }
@@ -1025,6 +1077,7 @@
     private fun choose(
         job: Job,
         machineIndex: MachineIndex,
+        now: Instant,
         also: (Machine) -> Boolean = { true },
     ): List<Placement> {
         if (job.isGang && job.live.isNotEmpty()) return emptyList()
@@ -1033,16 +1086,25 @@
         if (job.isGang && limit < job.spec.tasks) limit = 0
         if (job.isSuspect && !job.isGang) limit = minOf(limit, 1 - job.live.size)
         if (limit <= 0) {
-            if (job.isGang && !job.isSuspect) quota.hold(job.spec)
+            if (job.isGang && !job.isSuspect && ageS(job, now) >= HOLD_LIMIT_AFTER_S) quota.hold(job.spec)
             wait(job, "its team's limit")
             return emptyList()
         }
         val useful = Placer.usefulTypes(job.spec, types.values).mapTo(HashSet()) { it.name }
-        val placements = Placer.place(job, machineIndex.roomFor(job, useful, also), limit)
+        val placements = Placer.place(job, machineIndex.roomFor(job, useful, also), limit, preferenceOf(job))
         if (placements.isEmpty()) wait(job, "a machine with room")
         return placements
     }
 
+    /** Arrays make way for the gangs that need ordinary machines; a gang that may use spot ones had better stay away. */
+    private fun preferenceOf(job: Job) = Preference(ordinaryIsScarce && job.isGang, longestFetchS(job) ?: Double.MAX_VALUE)
+
+    /** The longest fetch with which [job] would still start as its class's aim and its team's guarantee ask. */
+    private fun longestFetchS(job: Job): Double? {
+        val guaranteed = aims.guaranteedStartS?.takeIf { job in guaranteedJobs }
+        return listOfNotNull(aims.startS(job.spec.jobClass), guaranteed).minOrNull()?.let { it - Fleet.START_STEPS_S }
+    }
+
     private fun wait(
         job: Job,
         reason: String,
@@ -1167,7 +1229,7 @@
     private var rankedAt = Instant.NEVER
 
     /**
-     * Guaranteed jobs first, then by priority, then by when they are to start at the latest: age plus the class's aim.
+     * Guaranteed jobs first, then by priority, then by when they are to start at the latest, by their class's aim or their own deadline.
      * By age alone, gangs that are to start within seconds wait for the change rate behind every older array. A class
      * of which a job has waited for [AGED] without a single start goes before all others with that job and what is
      * older of it, or large jobs of low rank would never begin in a long burst; the older ones go along, since passing
@@ -1191,7 +1253,7 @@
                     { if (it in aged) 0 else 1 },
                     { if (it in guaranteed) 0 else 1 },
                     { it.spec.urgency.ordinal },
-                    { it.submittedAtMs + (fleet.startDueS(it.spec) * 1000).toLong() },
+                    { it.submittedAtMs + (fleet.startDueS(it.spec, ageS(it, now)) * 1000).toLong() },
                 ),
             )
         ranked = order
@@ -1259,7 +1321,17 @@
         private const val OVERFLOW_AFTER = 0.4
         private val OVERFLOW_KEEP = Span(45_000)
         private val KEEP_ROOM = Span(15_000)
+
+        /** The search for room looks at every machine a job may use, so it is not repeated in each round. */
+        private val SEEK_ROOM_EVERY = Span(500)
         private val GUARANTEED_ROOM_EVERY = Span(5_000)
+
+        /**
+         * A gang that its team's limit holds up lets smaller jobs of the team pass for so long; then the limit is kept for
+         * it until it fits, which leaves three of the four minutes within which the largest jobs are to begin. Kept from
+         * the first moment, one gang of half a team's limit held up all the small ones behind it (rose-hill-vision).
+         */
+        private const val HOLD_LIMIT_AFTER_S = 60.0
         private const val FAULTY_AFTER_JOBS = 2
         private const val FORGET_MS = 60_000L
         private val DONE_LOG_DELAY = Span(2_000)
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -7,6 +7,7 @@
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
+import dewwing.control.core.job.ClassAims
 import dewwing.control.core.job.Job
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.quota.Quota
@@ -15,12 +16,12 @@
 import dewwing.protocol.JobSpec
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
-import dewwing.protocol.ObjectiveKind
 import dewwing.protocol.Resources
 import dewwing.protocol.Span
 import dewwing.protocol.Term
 import org.slf4j.LoggerFactory
 import kotlin.math.ceil
+import kotlin.math.floor
 
 /** The machines that are wanted, and the rentals and releases that lead there. */
 class Fleet(
@@ -30,6 +31,7 @@
     private val types: Map<String, MachineType>,
     private val quota: Quota,
     private val workCounter: WorkCounter,
+    private val aims: ClassAims,
     /** Start of this leader. */
     private val since: Instant,
 ) {
@@ -173,7 +175,7 @@
         return wanted
             .sortedByDescending { if (it.spot) it.type?.spotPrice else it.type?.price }
             .chunked(perRecord)
-            .map { part -> Keys.release(term.value * TERM_STRIDE + nextRelease++) to ReleaseRecord(part.map { it.id }) }
+            .map { part -> Keys.release(term, nextRelease++) to ReleaseRecord(part.map { it.id }) }
     }
 
     fun rentWrites(): List<Pair<String, RentRecord>> =
@@ -374,18 +376,7 @@
             }
         }
         for ((jobClass, list) in arrays) {
-            val horizon = horizonS(jobClass, list.sumOf { it.spec.estimateS } / list.size)
-            var work = 0.0
-            var places = 0.0
-            var live = 0
-            for (job in list.sortedBy { it.submittedAtMs }) {
-                val estimate = maxOf(1.0, job.spec.estimateS)
-                work += (job.spec.tasks - job.doneCount) * estimate
-                val age = (wallNowMs - job.submittedAtMs) / 1000.0
-                places = maxOf(places, work / maxOf(estimate, horizon - age))
-                live += job.live.size
-            }
-            var extra = ceil(places - 1e-9).toInt() - live
+            var extra = placesFor(jobClass, list, wallNowMs) - list.sumOf { it.live.size }
             for (job in list) {
                 if (extra <= 0) break
                 val count = minOf(extra, job.pending.cardinality(), quota.room(job.spec))
@@ -396,21 +387,42 @@
         return out
     }
 
-    /**
-     * Time from submission within which the class's work is to be done. An aim for starts is met once the last task
-     * has begun, so its run comes on top: taken as an aim for the end it rents half as many machines again as needed.
-     */
-    fun horizonS(
+    /** Places that let the arrays in [list], all of one class, be done in time, the most pressing first. */
+    private fun placesFor(
         jobClass: String,
-        runS: Double,
+        list: List<Job>,
+        wallNowMs: Long,
+    ): Int {
+        val horizon = aims.horizonS(jobClass, list.sumOf { ClassAims.runS(it.spec) } / list.size)
+        var work = 0.0
+        var places = 0.0
+        for ((job, leftS) in list.map { it to timeLeftS(it.spec, horizon, ageS(it, wallNowMs)) }.sortedBy { it.second }) {
+            val runS = ClassAims.runS(job.spec)
+            val available = maxOf(runS, leftS)
+            // Tasks are not cut in two: a place with time for one and a half runs serves one.
+            val share = if (job.spec.deadlineS == null) runS else available / floor(available / runS)
+            work += (job.spec.tasks - job.doneCount) * share
+            places = maxOf(places, work / available)
+        }
+        return ceil(places - 1e-9).toInt()
+    }
+
+    /** Time that is left for a job's work on machines that would have to be ordered now. */
+    private fun timeLeftS(
+        spec: JobSpec,
+        horizonS: Double,
+        ageS: Double,
     ): Double {
-        val within =
-            settings.objectives
-                .filter { it.jobClass == jobClass }
-                .minOfOrNull { if (it.kind == ObjectiveKind.WAIT) it.withinS + runS else it.withinS } ?: DEFAULT_HORIZON_S
-        return within * HORIZON_SHARE
+        val lead = Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: 0.0
+        val deadline = aims.deadlineS(spec, ageS, ClassAims.runS(spec) + lead)
+        return if (deadline == null) horizonS - ageS else deadline - ageS - lead
     }
 
+    private fun ageS(
+        job: Job,
+        wallNowMs: Long,
+    ): Double = (wallNowMs - job.submittedAtMs) / 1000.0
+
     /** Machines that the least part of [spec] which must start together takes. */
     fun machinesFor(spec: JobSpec): Int {
         val tasks = if (spec.shape == JobShape.GANG) spec.tasks else 1
@@ -418,27 +430,42 @@
         return if (slots == 0) 0 else ceil(tasks / slots.toDouble()).toInt()
     }
 
-    /** The shortest time within which tasks of the class are to start, of all its aims. */
-    private fun startAimS(jobClass: String): Double? =
-        settings.objectives.filter { it.kind == ObjectiveKind.WAIT && it.jobClass == jobClass }.minOfOrNull { it.withinS }
+    /** Time from submission within which a job that is [ageS] old is to start, as far as its aims and its deadline tell. */
+    fun startDueS(
+        spec: JobSpec,
+        ageS: Double,
+    ): Double = aims.startDueS(spec, ageS, shortestFetchS(spec))
 
-    /** Time from submission within which a job is to start, as far as its aims tell. */
-    fun startDueS(spec: JobSpec): Double = startAimS(spec.jobClass) ?: horizonS(spec.jobClass, spec.estimateS)
+    private fun shortestFetchS(spec: JobSpec): Double = Placer.usefulTypes(spec, types.values).minOfOrNull { fetchS(spec, it) } ?: 0.0
 
     /** A start that has to fetch the image would most likely come too late, since fetches may be a third slower. */
     fun fetchMissesStart(spec: JobSpec): Boolean {
-        val within = startAimS(spec.jobClass) ?: return false
-        val fetch = Placer.usefulTypes(spec, types.values).minOfOrNull { fetchS(spec, it) } ?: return false
-        return fetch * SLOW_FETCH + START_STEPS_S > within
+        val within = aims.startS(spec.jobClass) ?: return false
+        return shortestFetchS(spec) * SLOW_FETCH + START_STEPS_S > within
     }
 
-    /** The class is to start sooner than a machine boots: renting on demand can never meet its aim. */
+    /**
+     * The class is to start sooner than a machine boots: renting on demand cannot be relied on to meet its aim. Boots
+     * usually take up to one and a half times as long as the type says.
+     */
     fun cannotWaitForBoot(spec: JobSpec): Boolean {
-        val within = startAimS(spec.jobClass) ?: return false
-        val lead = Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: return false
-        return within < lead
+        val within = aims.startS(spec.jobClass) ?: return false
+        return within < (slowStartS(spec) ?: return false)
+    }
+
+    /** A machine ordered now might come too late for a job that was submitted [ageS] ago and has not started. */
+    fun bootMissesStart(
+        spec: JobSpec,
+        ageS: Double,
+    ): Boolean {
+        val within = minOf(startDueS(spec, ageS), LATEST_START_S)
+        return within - ageS < (slowStartS(spec) ?: return false)
     }
 
+    /** Time from the order of a machine to a running task of [spec] if the boot is a slow one. */
+    private fun slowStartS(spec: JobSpec): Double? =
+        Placer.usefulTypes(spec, types.values).minOfOrNull { it.bootS * SLOW_BOOT + fetchS(spec, it) }
+
     fun fetchS(
         spec: JobSpec,
         type: MachineType,
@@ -554,9 +581,9 @@
             same.record = RentRecord(same.record.order.copy(count = same.record.order.count + count), null)
             return
         }
-        val step = term.value * TERM_STRIDE + nextRental++
-        val order = RentOrder("r-$step", type.name, zone, spot, count)
-        rentals[Keys.rent(step)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now, isOwn = true)
+        val number = nextRental++
+        val order = RentOrder(Keys.rentalName(term, number), type.name, zone, spot, count)
+        rentals[Keys.rent(term, number)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now, isOwn = true)
         log.info("wanted: {} {}{} in {}", count, type.name, spotLabel(spot), zone)
     }
 
@@ -616,7 +643,6 @@
     }
 
     companion object {
-        private const val TERM_STRIDE = 100_000L
         private const val MAX_RENT = 50
         private const val MAX_RELEASE = 100
 
@@ -636,13 +662,17 @@
         private const val SLOW_FETCH = 1.2
 
         /** From acceptance to the launch, and from the image to the report of a running task. */
-        private const val START_STEPS_S = 2.0
+        const val START_STEPS_S = 2.0
         private const val SLOW_START = 2.0
+
+        /** Boots usually take 0.6 to 1.5 times as long as the type says. */
+        private const val SLOW_BOOT = 1.5
+
+        /** However patient its class's aim, half of the time within which the largest jobs are to begin. */
+        private const val LATEST_START_S = 120.0
         private const val GIVE_UP_START = 4.0
         private const val LEEWAY_S = 10.0
         private const val DEFAULT_BOOT_S = 60.0
-        private const val DEFAULT_HORIZON_S = 240.0
-        private const val HORIZON_SHARE = 0.65
         private val PLAN_EVERY = Span(1_000)
         private val SILENT_KEEP = Span(15_000)
 
--- a/src/main/kotlin/dewwing/control/core/intent/Records.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/Records.kt
@@ -43,9 +43,21 @@
         step: Step,
     ): String = "$LOGS${ref.value}/${digits(step.value)}"
 
-    fun rent(step: Long): String = RENTS + digits(step)
+    fun rent(
+        term: Term,
+        number: Long,
+    ): String = "$RENTS${digits(term.value)}/${digits(number)}"
 
-    fun release(step: Long): String = RELEASES + digits(step)
+    fun release(
+        term: Term,
+        number: Long,
+    ): String = "$RELEASES${digits(term.value)}/${digits(number)}"
+
+    /** The name under which the cloud is asked for a rental: no other request of any term may ever have it. */
+    fun rentalName(
+        term: Term,
+        number: Long,
+    ): String = "r-${term.value}-$number"
 
     /** Exists once the leader's changes up to a point are certain: every change is conditional on the next one's absence. */
     fun fence(
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -117,6 +117,9 @@
     /** When tasks of lower priority were stopped for this job, until it is placed. */
     var madeRoomAt: Instant? = null
 
+    /** When tasks that may be stopped for this job were last looked for. */
+    var roomSoughtAt: Instant = Instant.NEVER
+
     /** When tasks of lower priority were last stopped since the team's guarantee covers this job. */
     var guaranteedRoomAt: Instant = Instant.NEVER
 
--- a/src/main/kotlin/dewwing/control/core/leadership/ConfirmedCancellations.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/ConfirmedCancellations.kt
@@ -35,6 +35,7 @@
     fun since(known: Revision): List<Cancellation>? = if (floor > known) null else confirmed.filter { it.revision > known }
 
     companion object {
-        private const val LIMIT = 512
+        /** More jobs than users call off within the time that a leader may be cut off; they fit into one heartbeat's frame. */
+        const val LIMIT = 4_096
     }
 }
--- a/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
@@ -31,6 +31,8 @@
         val nearestFree: List<Machine> by lazy(LazyThreadSafetyMode.NONE) { all.sortedBy { it.attempts.size } }
         var reservedTo = 0
 
+        fun nearestUnreserved(count: Int): List<Machine> = nearestFree.subList(reservedTo, minOf(nearestFree.size, reservedTo + count))
+
         fun allows(spec: JobSpec): Boolean =
             Placer.typeAllowed(spec, type) && (spec.zone == null || spec.zone == zone) && (spec.spot || !spot)
     }
@@ -85,7 +87,7 @@
             val some =
                 group.stoppable.getOrPut(job.spec.urgency) {
                     workCounter.look(group.all.size)
-                    group.all.filter { m -> m in roomySet || m.attempts.values.any { preemption.mayStop(it, job.spec.urgency) } }
+                    group.all.filter { m -> m in roomySet || m.attempts.values.any { preemption.mightStop(it, job.spec.urgency) } }
                 }
             workCounter.look(some.size)
             // Room kept where the job has failed before would be used by nobody: it is not placed there.
@@ -98,13 +100,49 @@
     fun withAccelerators(): List<Machine> =
         groups.filter { it.type.size.accelerators > 0 }.flatMap { g -> g.all.filter { it !in reserved } }
 
-    /** Keeps the machines nearest to free that [job], a gang, would take from every job asked about later in this round. */
+    /**
+     * Keeps the machines nearest to free that [job], a gang, would take from every job asked about later in this round. A
+     * gang bound to one zone reserves in one zone only: room in two zones would be of no use to it and be lost to others.
+     */
     fun reserve(job: Job) {
+        val allowed = groups.filter { it.allows(job.spec) }
+        if (job.spec.oneZone) reserve(job, nearestZone(job, allowed)) else reserve(job, allowed)
+    }
+
+    /** The groups of the zone where [job] would find its room with the fewest other tasks in the way. */
+    private fun nearestZone(
+        job: Job,
+        allowed: List<Group>,
+    ): List<Group> =
+        allowed
+            .groupBy { it.zone }
+            .values
+            .mapNotNull { zone -> tasksInTheWay(job, zone)?.let { zone to it } }
+            .minByOrNull { it.second }
+            ?.first ?: emptyList()
+
+    /** Tasks on the machines that [job] would reserve in [zone]; null where there are too few machines. */
+    private fun tasksInTheWay(
+        job: Job,
+        zone: List<Group>,
+    ): Int? {
+        val slots = zone.maxOf { it.type.size.slots(job.spec.need) }
+        if (slots == 0) return null
+        val wanted = (job.spec.tasks + slots - 1) / slots
+        val nearest = zone.flatMap { it.nearestUnreserved(wanted) }.map { it.attempts.size }
+        workCounter.look(nearest.size)
+        return if (nearest.size < wanted) null else nearest.sorted().take(wanted).sum()
+    }
+
+    private fun reserve(
+        job: Job,
+        allowed: List<Group>,
+    ) {
         var missing = job.spec.tasks
         while (missing > 0) {
             val group =
-                groups
-                    .filter { it.allows(job.spec) && it.reservedTo < it.nearestFree.size }
+                allowed
+                    .filter { it.reservedTo < it.nearestFree.size }
                     .minByOrNull { it.nearestFree[it.reservedTo].attempts.size } ?: return
             workCounter.look(1)
             val m = group.nearestFree[group.reservedTo++]
--- a/src/main/kotlin/dewwing/control/core/placement/Placement.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Placement.kt
@@ -12,6 +12,14 @@
     val count: Int,
 )
 
+/** What comes before the fullest fit when a job's machines are chosen. */
+data class Preference(
+    /** Ordinary machines come last for work that may use spot ones, since other work is confined to them. */
+    val sparesOrdinary: Boolean = false,
+    /** A machine that would fetch the image for longer than this comes after those that have it. */
+    val longestFetchS: Double = Double.MAX_VALUE,
+)
+
 /** Which machines a job may use, and the fullest fit among them. */
 object Placer {
     /** Share of the resource that is scarcest on the machine once [extra] is added to what it holds. */
@@ -62,20 +70,21 @@
         job: Job,
         machines: List<Machine>,
         limit: Int,
+        preference: Preference = Preference(),
     ): List<Placement> {
         val spec = job.spec
         if (limit <= 0) return emptyList()
-        if (!spec.oneZone) return fill(job, machines, limit, spec.spread)
+        if (!spec.oneZone) return fill(job, machines, limit, preference)
         val held =
             job.live.values
                 .firstOrNull()
                 ?.machine
                 ?.zone
-        if (held != null) return fill(job, machines.filter { it.zone == held }, limit, spec.spread)
+        if (held != null) return fill(job, machines.filter { it.zone == held }, limit, preference)
         return machines
             .groupBy { it.zone }
             .values
-            .map { fill(job, it, limit, spec.spread) }
+            .map { fill(job, it, limit, preference) }
             .maxByOrNull { placements -> placements.sumOf { it.count } } ?: emptyList()
     }
 
@@ -83,9 +92,10 @@
         job: Job,
         machines: List<Machine>,
         limit: Int,
-        spread: Boolean,
+        preference: Preference,
     ): List<Placement> {
         val spec = job.spec
+        val spread = spec.spread
         val perZone = HashMap<String, Int>()
         if (spread) for (a in job.live.values) perZone.merge(a.machine.zone, 1, Int::plus)
         // Where a machine that only a log names stands is not known: its tasks may be in any zone.
@@ -94,7 +104,7 @@
         val out = ArrayList<Placement>()
         var missing = limit
         // What is put on one machine changes no other one's rank, so one ordering serves all tasks.
-        for (best in ordered(spec, machines)) {
+        for (best in ordered(spec, machines, preference)) {
             if (missing <= 0) break
             val zoneRoom = zoneCap - (perZone[best.zone] ?: 0)
             val count = minOf(missing, best.free.slots(spec.need), zoneRoom)
@@ -108,6 +118,7 @@
 
     private class Candidate(
         val machine: Machine,
+        val spared: Boolean,
         val ready: Boolean,
         val fullness: Long,
         val hasImage: Boolean,
@@ -115,29 +126,34 @@
 
     /**
      * The machines that can hold a task, the one it leaves fullest first. Where the fetch of the image is a good part
-     * of the run, machines that have it come before that: the place is paid for while it only fetches.
+     * of the run, or would make the start late, machines that have it come before that: the place is paid for while it
+     * only fetches.
      */
     private fun ordered(
         spec: JobSpec,
         machines: List<Machine>,
+        preference: Preference,
     ): List<Machine> {
         val fitting = ArrayList<Candidate>()
         for (m in machines) {
             val type = m.type ?: continue
             if (!m.free.holds(spec.need)) continue
             val hasImage = spec.image in m.images
-            val ready = hasImage || spec.imageGb < type.fetchGbPerS * spec.estimateS * FETCH_SHARE
-            fitting.add(Candidate(m, ready, Math.round(fullness(type.size, m.used, spec.need) * 100), hasImage))
+            val longestFetchS = minOf(preference.longestFetchS, spec.estimateS * FETCH_SHARE)
+            val ready = hasImage || spec.imageGb < type.fetchGbPerS * longestFetchS
+            val spared = preference.sparesOrdinary && spec.spot && !m.spot
+            fitting.add(Candidate(m, spared, ready, Math.round(fullness(type.size, m.used, spec.need) * 100), hasImage))
         }
-        fitting.sortWith(preference)
+        fitting.sortWith(best)
         return fitting.map { it.machine }
     }
 
     /** Share of a run from which on its fetch counts. */
     private const val FETCH_SHARE = 0.1
 
-    private val preference: Comparator<Candidate> =
-        compareByDescending<Candidate> { it.ready }
+    private val best: Comparator<Candidate> =
+        compareBy<Candidate> { it.spared }
+            .thenByDescending { it.ready }
             .thenByDescending { it.fullness }
             .thenByDescending { it.hasImage }
             .thenByDescending { it.machine.spot }
--- a/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
+++ b/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
@@ -67,7 +67,8 @@
 
 /** The frames between controllers: a length, then a tag and its fields, all in Okio buffers. */
 object PeerCodec {
-    const val MAX_FRAME = 256 * 1024
+    /** Holds a heartbeat with as many cancellations as are kept, whatever their jobs' ids. */
+    const val MAX_FRAME = 512 * 1024
     private const val HEARTBEAT = 1
     private const val COUNTS = 2
     private const val RELAY = 3
--- a/src/main/kotlin/dewwing/protocol/Settings.kt
+++ b/src/main/kotlin/dewwing/protocol/Settings.kt
@@ -45,14 +45,31 @@
     val acceleratorsMax: Double?,
 )
 
-enum class ObjectiveKind { WAIT, FINISHED }
-
-data class Objective(
-    val kind: ObjectiveKind,
-    val jobClass: String,
-    val withinS: Double,
-    val share: Double,
-)
+/** What users expect, as far as the scheduler acts on it; times count from submission. */
+sealed interface Objective {
+    /** Tasks of the class start within [withinS]. */
+    data class Start(
+        val jobClass: String,
+        val withinS: Double,
+    ) : Objective
+
+    /** Jobs of the class are done within [withinS]. */
+    data class Finish(
+        val jobClass: String,
+        val withinS: Double,
+    ) : Objective
+
+    /** Jobs of the class are done within [times] their own deadline. */
+    data class Deadline(
+        val jobClass: String,
+        val times: Double,
+    ) : Objective
+
+    /** Work that its team's guarantee covers starts within [withinS]. */
+    data class GuaranteedStart(
+        val withinS: Double,
+    ) : Objective
+}
 
 data class WorkerTimes(
     val report: Span,
@@ -144,13 +161,16 @@
 
         /** Kinds of objective we do not know are somebody else's. */
         private fun objective(s: Section): Objective? {
-            val kind =
+            val objective =
                 when (s.text("kind")) {
-                    "wait" -> ObjectiveKind.WAIT
-                    "finished" -> ObjectiveKind.FINISHED
+                    "wait" -> Objective.Start(s.text("class"), s.positive("within_s"))
+                    "finished" -> Objective.Finish(s.text("class"), s.positive("within_s"))
+                    "deadline" -> Objective.Deadline(s.text("class"), if (s.has("times")) s.positive("times") else 1.0)
+                    "guarantee" -> Objective.GuaranteedStart(s.positive("within_s"))
                     else -> return null
                 }
-            return Objective(kind, s.text("class"), s.positive("within_s"), s.notNegative("share"))
+            s.notNegative("share")
+            return objective
         }
     }
 
@@ -170,6 +190,8 @@
 
         private fun primitive(name: String): JsonPrimitive? = json[name] as? JsonPrimitive
 
+        fun has(name: String): Boolean = json[name] != null && json[name] !is JsonNull
+
         fun text(name: String): String {
             val p = primitive(name)
             if (p == null || !p.isString || p.content.isEmpty()) wrong(name, "text")
--- a/src/test/kotlin/dewwing/control/core/Fixtures.kt
+++ b/src/test/kotlin/dewwing/control/core/Fixtures.kt
@@ -2,7 +2,6 @@
 
 import dewwing.protocol.CloudLimits
 import dewwing.protocol.Objective
-import dewwing.protocol.ObjectiveKind
 import dewwing.protocol.Span
 import dewwing.protocol.StateLimits
 import dewwing.protocol.Team
@@ -17,7 +16,7 @@
     tunables: Tunables = Tunables(),
 ) = CoreSettings(
     listOf(Team("t", 0.0, null, 0.0, null)),
-    startAims.map { (jobClass, withinS) -> Objective(ObjectiveKind.WAIT, jobClass, withinS, 0.9) },
+    startAims.map { (jobClass, withinS) -> Objective.Start(jobClass, withinS) },
     WorkerTimes(report, lease, Span(30_000), Span(6_000), Span(30_000)),
     state,
     CloudLimits(4.0, Span(3_000)),
--- a/src/test/kotlin/dewwing/control/core/GrowthTest.kt
+++ b/src/test/kotlin/dewwing/control/core/GrowthTest.kt
@@ -121,7 +121,7 @@
 
     @Test
     fun `a round looks at each machine a few times, not once for each waiting job`() {
-        for (machines in listOf(100, 500, 1_500)) {
+        for (machines in listOf(100, 500, 1_500, 4_000)) {
             for (queued in listOf(10, 200)) {
                 for (shape in listOf(JobShape.ARRAY, JobShape.GANG)) {
                     val loaded = Loaded(machines, queued, shape)
@@ -134,7 +134,7 @@
 
     @Test
     fun `a report costs the same in a small fleet as in a large one`() {
-        for (machines in listOf(100, 1_500)) {
+        for (machines in listOf(100, 1_500, 4_000)) {
             val loaded = Loaded(machines, 200)
             loaded.round()
             val looks = (0 until 100).maxOf { loaded.report(it) }
--- a/src/test/kotlin/dewwing/protocol/FormatsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -1,10 +1,13 @@
 package dewwing.protocol
 
+import dewwing.control.cloud.CloudClient
 import dewwing.control.core.intent.JobRecord
+import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
 import dewwing.control.core.intent.Ranges
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.leadership.Cancellation
+import dewwing.control.core.leadership.ConfirmedCancellations
 import dewwing.control.peer.PeerAnswer
 import dewwing.control.peer.PeerCodec
 import dewwing.control.peer.PeerRequest
@@ -202,6 +205,41 @@
         assertTrue(size in exact..exact + 12, "$size for $exact")
     }
 
+    /** Guards a mass cancellation on a fleet of thousands: a list that does not fit leaves the leader uninformed. */
+    @Test
+    fun `a heartbeat holds as many cancellations as a controller keeps, with the longest ids`() {
+        val confirmed = ConfirmedCancellations()
+        val all =
+            (1L..ConfirmedCancellations.LIMIT).map {
+                Cancellation(JobRef("job-" + it.toString().padStart(60, '0')), Revision(it))
+            }
+        all.forEach(confirmed::note)
+        val answer = PeerAnswer.Heartbeat(PeerState(true, Term(1), "perch-1", Incarnation(1)), confirmed.since(Revision(0)))
+        val frame = PeerCodec.encode(answer)
+        assertTrue(frame.size <= PeerCodec.MAX_FRAME, "${frame.size} bytes")
+        assertEquals(all, (PeerCodec.decodeAnswer(frame) as PeerAnswer.Heartbeat).cancellations)
+    }
+
+    /** Guards names that ran into the next term's after 100,000 rentals: the cloud would answer an old order's machines. */
+    @Test
+    fun `rentals and releases of all terms have names of their own, however many there are`() {
+        val numbers = listOf(1L, 99_999L, 100_000L, 100_001L, 1_000_000L)
+        val names = (1L..20L).flatMap { term -> numbers.map { Term(term) to it } }
+        for (name in listOf(Keys::rent, Keys::release, Keys::rentalName)) {
+            assertEquals(names.size, names.map { (term, number) -> name(term, number) }.toSet().size)
+        }
+    }
+
+    @Test
+    fun `a list of thousands of machines leaves the cloud's rate to rentals and releases`() {
+        for (machines in listOf(0, 499, 500, 1_500, 4_000, 10_000)) {
+            for (rate in listOf(1.0, 4.0, 8.0, 100.0)) {
+                val everyS = CloudClient.listEveryMs(machines, rate) / 1_000.0
+                assertTrue(everyS >= 4.0 && (machines / 500 + 1) / everyS <= rate * 0.26, "$machines machines, $rate calls a second")
+            }
+        }
+    }
+
     @Test
     fun `messages between controllers survive their frames, and garbage is an IOException`() {
         val heartbeat = PeerState(true, Term(7), "n-1", Incarnation(-5))
--- a/src/test/kotlin/dewwing/world/World.kt
+++ b/src/test/kotlin/dewwing/world/World.kt
@@ -31,7 +31,6 @@
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
 import dewwing.protocol.Objective
-import dewwing.protocol.ObjectiveKind
 import dewwing.protocol.Position
 import dewwing.protocol.Report
 import dewwing.protocol.ReportedTask
@@ -555,7 +554,7 @@
             val core =
                 CoreSettings(
                     listOf(team.copy(coresMax = cap)),
-                    listOf(Objective(ObjectiveKind.WAIT, "c", 10.0, 0.9)),
+                    listOf(Objective.Start("c", 10.0)),
                     workersTimes.copy(lease = lease),
                     StateLimits(200.0, 25.0, 4096, 8),
                     CloudLimits(4.0, Span(3_000)),
