--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -1328,10 +1328,10 @@
 
         /**
          * A gang that its team's limit holds up lets smaller jobs of the team pass for so long; then the limit is kept for
-         * it until it fits, which leaves three of the four minutes within which the largest jobs are to begin. Kept from
-         * the first moment, one gang of half a team's limit held up all the small ones behind it (rose-hill-vision).
+         * it until it fits, which leaves half of the four minutes within which the largest jobs are to begin. Kept from the
+         * first moment, one gang of a third of a team's limit held up all the small ones behind it (rose-hill-vision).
          */
-        private const val HOLD_LIMIT_AFTER_S = 60.0
+        private const val HOLD_LIMIT_AFTER_S = 120.0
         private const val FAULTY_AFTER_JOBS = 2
         private const val FORGET_MS = 60_000L
         private val DONE_LOG_DELAY = Span(2_000)
--- a/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
@@ -99,7 +99,8 @@
 
     /**
      * Whether the whole gang of [a] may make way for the gang [job]. Only one that can save, and only once its start
-     * counts: what is stopped sooner was not worth starting.
+     * counts: what is stopped sooner was not worth starting. Within a team that would only move the wait from one job to
+     * another, since the team's limit is often what both need.
      */
     private fun mayStopGang(
         a: Attempt,
@@ -108,6 +109,7 @@
     ): Boolean {
         val victim = a.job
         val started = a.runningSince ?: return false
+        if (victim.spec.team == job.spec.team) return false
         return job.isGang && victim.isGang && mightStop(a, job.spec.urgency) && victim.spec.checkpointS > 0 &&
             now - started >= SETTLED_START
     }
