--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -218,8 +218,9 @@
         leadership.heardTerm(report.term)
         val lead = leading
         var authority = leadership.authority(now(), state.failing)
+        // Also while nothing may be answered: workers that come in vain are no sign that they cannot come.
+        lead?.heardWorker()
         if (lead == null || authority == Authority.NONE) return elsewhere()
-        lead.heardWorker()
         val scheduler = lead.scheduler
         if (scheduler == null) {
             // Without the picture nobody here knows which of its tasks are cancelled.
--- a/src/main/kotlin/dewwing/control/app/Main.kt
+++ b/src/main/kotlin/dewwing/control/app/Main.kt
@@ -123,7 +123,7 @@
 
 private const val BAD_SETTINGS = 2
 
-const val VERSION = "0.5.0"
+const val VERSION = "0.6.0"
 
 /** Runs a controller until the process is killed: one thread for everything, one for the socket selector. */
 private fun serve(
