--- a/src/test/kotlin/dewwing/protocol/SettingsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/SettingsTest.kt
@@ -30,6 +30,35 @@
         assertEquals(8192, s.stateLimits.valueBytes)
     }
 
+    @Test
+    fun `aims for starts, ends, deadlines and guarantees are read, each with its own fields`() {
+        val objectives =
+            """
+            [{"kind":"wait","class":"c","within_s":12.0,"share":0.75},{"kind":"finished","class":"c","within_s":80.0,"share":0.8},
+             {"kind":"deadline","class":"d","share":0.98,"times":1.5},{"kind":"deadline","class":"d","share":0.9},
+             {"kind":"guarantee","within_s":5.0,"share":0.8}]
+            """.trimIndent()
+
+        fun parse(list: String) = Settings.parse(good.replace(Regex("\"objectives\":\\[.*]"), "\"objectives\":" + list)).objectives
+        assertEquals(
+            listOf(
+                Objective.Start("c", 12.0),
+                Objective.Finish("c", 80.0),
+                Objective.Deadline("d", 1.5),
+                Objective.Deadline("d", 1.0),
+                Objective.GuaranteedStart(5.0),
+            ),
+            parse(objectives),
+        )
+        for (bad in listOf(
+            objectives.replace("1.5", "0"),
+            objectives.replace("5.0,\"share\":0.8", "5.0"),
+            objectives.replace("12.0", "-1"),
+        )) {
+            assertThrows(BadSettingsException::class.java) { parse(bad) }
+        }
+    }
+
     @Test
     fun `a bad file is refused and the field named`() {
         val cases =
