--- a/src/test/kotlin/dewwing/control/core/WholeMachineGangsTest.kt
+++ b/src/test/kotlin/dewwing/control/core/WholeMachineGangsTest.kt
@@ -75,13 +75,12 @@
         val harness = SchedulerHarness()
         for (i in 0..3) harness.addMachine("m-a$i", "a")
         for (i in 0..3) harness.addMachine("m-b$i", "b")
-        // No one makes way: the gang's priority is that of the work which fills the machines of zone b.
-        val filler = (0..3).map { job(10 + it, tasks = 8, urgency = Urgency.HIGH).copy(zone = "b") }
-        filler.forEach(harness::submit)
+        // Nobody makes way, being of the gang's priority: one task on each machine of zone a, eight on one of zone b.
+        val spread = (0..3).map { job(10 + it, urgency = Urgency.HIGH, accelerators = 5).copy(zone = "a") }
+        val full = job(20, tasks = 8, urgency = Urgency.HIGH).copy(zone = "b")
+        (spread + full).forEach(harness::submit)
         harness.run(5.0)
-        val inTheWay = job(20, tasks = 1, urgency = Urgency.HIGH).copy(zone = "a")
-        harness.submit(inTheWay)
-        harness.run(3.0)
+        assertEquals(4, spread.flatMapTo(HashSet(), harness::machinesOf).size)
         val gang = wholeMachines(30, 4)
         harness.submit(gang)
         harness.run(1.0)
@@ -89,6 +88,7 @@
         harness.submit(small)
         harness.run(5.0)
         assertEquals(0, harness.running(gang))
+        assertEquals(3, harness.machinesOf(small).count { it.startsWith("m-b") })
         assertTrue(harness.machinesOf(small).none { it.startsWith("m-a") }, "zone a is kept for the gang: ${harness.machinesOf(small)}")
     }
 
