--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -9,6 +9,7 @@
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.quota.Quota
+import dewwing.control.core.sharing.ShardId
 import dewwing.control.http.HttpAnswer
 import dewwing.control.http.HttpRequest
 import dewwing.control.state.CommitResult
@@ -25,6 +26,12 @@
 import dewwing.protocol.Revision
 import dewwing.protocol.Wire
 
+/** The shard that a job is accepted for, null under a single leader, and what must still hold when its record is written. */
+class JobDestination(
+    val shard: ShardId?,
+    val conditions: List<Pair<String, Revision>> = emptyList(),
+)
+
 /** What the user API needs of the controller round it. */
 interface ApiHost {
     val machineTypes: Collection<MachineType>
@@ -41,8 +48,14 @@
         revision: Revision,
     )
 
-    /** Display counts, from whoever leads; null when unknown. */
-    suspend fun counts(ref: JobRef): JobCounts?
+    /** Display counts, from whoever schedules the job; null when unknown. */
+    suspend fun counts(
+        ref: JobRef,
+        shard: ShardId?,
+    ): JobCounts?
+
+    /** Where a new job goes. */
+    fun destinationOf(ref: JobRef): JobDestination
 
     fun now(): Instant
 
@@ -180,13 +193,15 @@
         }
         val never = cannotEverRun(spec)
         if (never != null) return knownOr(spec.ref, HttpAnswer.error(422, never))
-        val record = JobRecord(JobStage.QUEUED, spec, host.wallMs())
+        val destination = host.destinationOf(spec.ref)
+        val record = JobRecord(JobStage.QUEUED, spec, host.wallMs(), destination.shard)
         val value = record.toValue()
         if (Pack.jsonSize(value) > maxValueBytes) {
             return knownOr(spec.ref, HttpAnswer.error(400, "the description is too long"))
         }
         if (!changes.tryTake(host.now())) return knownOr(spec.ref, tooMany())
-        val change = StateChange(listOf(Keys.job(spec.ref) to Revision.ABSENT), listOf(Keys.job(spec.ref) to value))
+        val conditions = listOf(Keys.job(spec.ref) to Revision.ABSENT) + destination.conditions
+        val change = StateChange(conditions, listOf(Keys.job(spec.ref) to value))
         // Without an answer the record may exist or not: the same conditional change again tells.
         val result =
             try {
@@ -247,11 +262,12 @@
 
     private suspend fun query(ref: JobRef): HttpAnswer {
         val reading = reader.read(ref) ?: return tooMany()
-        val stage = reading.record?.stage ?: return HttpAnswer.error(404, "no such job")
+        val record = reading.record ?: return HttpAnswer.error(404, "no such job")
+        val stage = record.stage
         if (stage == JobStage.DONE || stage == JobStage.ABORTED) {
             return HttpAnswer.of(200, Wire.queryAnswer(ref, stage, 0, 0))
         }
-        val counts = host.counts(ref)
+        val counts = host.counts(ref, record.shard)
         // The leader may be behind the record just read, so only its counts are used, never a stage past running.
         return HttpAnswer.of(200, Wire.queryAnswer(ref, counts?.stage ?: stage, counts?.done ?: 0, counts?.running ?: 0))
     }
--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -1,13 +1,14 @@
 package dewwing.control.app
 
 import dewwing.control.api.ApiHost
+import dewwing.control.api.JobDestination
 import dewwing.control.api.QueryRate
 import dewwing.control.api.UserApi
 import dewwing.control.cloud.CloudClient
 import dewwing.control.core.CoreSettings
 import dewwing.control.core.JobCounts
+import dewwing.control.core.Scheduler
 import dewwing.control.core.SharedRate
-import dewwing.control.core.StateChange
 import dewwing.control.core.TokenBucket
 import dewwing.control.core.Tunables
 import dewwing.control.core.intent.Keys
@@ -18,29 +19,41 @@
 import dewwing.control.core.leadership.LeadershipTimes
 import dewwing.control.core.leadership.PeerHeartbeat
 import dewwing.control.core.quota.Quota
+import dewwing.control.core.sharing.SchedulerScope
+import dewwing.control.core.sharing.ShardId
+import dewwing.control.core.sharing.ShardLayout
+import dewwing.control.core.sharing.SharingMarker
 import dewwing.control.http.HttpAnswer
 import dewwing.control.http.HttpClient
 import dewwing.control.http.HttpRequest
 import dewwing.control.http.HttpServer
 import dewwing.control.http.ServerLimits
+import dewwing.control.peer.HeardHeartbeat
+import dewwing.control.peer.HeartbeatExchange
 import dewwing.control.peer.PeerAnswer
 import dewwing.control.peer.PeerClient
 import dewwing.control.peer.PeerRequest
 import dewwing.control.peer.PeerServer
 import dewwing.control.peer.PeerState
-import dewwing.control.state.CommitResult
+import dewwing.control.peer.SharingStatus
+import dewwing.control.sharing.MoveTracing
+import dewwing.control.sharing.ShardedControl
+import dewwing.control.sharing.SharingHost
+import dewwing.control.sharing.SharingOptions
+import dewwing.control.sharing.SharingPeer
+import dewwing.control.sharing.SharingSwitch
 import dewwing.control.state.StateClient
-import dewwing.control.state.StateUnavailableException
 import dewwing.control.worker.WorkerClient
 import dewwing.protocol.Fields
-import dewwing.protocol.HoldId
 import dewwing.protocol.Incarnation
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
 import dewwing.protocol.JobStage
+import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
 import dewwing.protocol.MalformedException
 import dewwing.protocol.Pack
+import dewwing.protocol.Report
 import dewwing.protocol.Revision
 import dewwing.protocol.Settings
 import dewwing.protocol.Span
@@ -66,7 +79,11 @@
     private val options: Options,
     private val selector: SelectorManager,
     private val metrics: Metrics,
-) : ApiHost {
+    /** Null: a single leader does all the work. */
+    private val sharing: SharingOptions? = null,
+    private val tracing: MoveTracing? = null,
+) : ApiHost,
+    SharingHost {
     private val log = LoggerFactory.getLogger("controller")
     private val nodes = settings.siblings.size + 1
 
@@ -90,29 +107,23 @@
         )
     private val workers = WorkerClient(selector) { call, outcome -> metrics.called("worker", call, outcome) }
     private val peers = settings.siblings.associate { it.name to PeerClient(selector, it.endpoint) }
-    private val heartbeats = HashMap<String, PeerHeartbeat>()
-    private val leadership =
-        Leadership(
-            LeadershipTimes
-                .of(settings.workers, options.holdTtl, Span(minOf(HEARTBEAT_AGE_MS, tunables.outageBound.ms)))
-                .also(::warnOfNoRoom),
-            siblings = peers.keys,
-        )
+    private val heartbeats = HashMap<String, HeardHeartbeat>()
+    private val times =
+        LeadershipTimes
+            .of(settings.workers, options.holdTtl, Span(minOf(HEARTBEAT_AGE_MS, tunables.outageBound.ms)))
+            .also(::warnOfNoRoom)
+    private val single =
+        LeaderElection(null, settings.node, Leadership(times, peers.keys), state, options.holdTtl, ::now, ::newSingleLeader)
+
+    /** Set while shards have owners of their own. */
+    private var sharded: ShardedControl? = null
+    private val sharingSwitch = SharingSwitch(settings.node, state, settings.stateLimits.opsPerCommit, ::now)
+    private val elections: List<LeaderElection> get() = sharded?.elections ?: listOf(single)
+    private val leaders: List<Leader> get() = elections.mapNotNull { it.leading }
     private val incarnation = Incarnation(Random.nextLong())
     private val confirmed = ConfirmedCancellations()
     private val api: UserApi
     private var types: List<MachineType> = emptyList()
-    private var leaderName: String? = null
-
-    /** When [leaderName] was last confirmed; an old name would send workers to a controller that may be gone. */
-    private var leaderSeenAt = Instant.NEVER
-
-    /** When the state service itself last named the leader to this controller. */
-    private var leaderReadAt = Instant.NEVER
-
-    /** Until then somebody whom the workers can reach is to lead. */
-    private var standBackUntil = Instant.NEVER
-    private var leading: Leader? = null
 
     /** Until then the leader is not asked for display counts, since it has just not answered. */
     private var noCountsUntil = Instant.NEVER
@@ -132,12 +143,13 @@
                 host = this,
                 changes = SharedRate(intakePerS, maxOf(INTAKE_BURST, intakePerS)),
                 queryRate =
-                    QueryRate(requestsPerS, requestsPerS) { if (leading == null) QUERY_COST else QUERY_COST_LEADING },
+                    QueryRate(requestsPerS, requestsPerS) { if (leaders.isEmpty()) QUERY_COST else QUERY_COST_LEADING },
                 maxConditions = settings.stateLimits.opsPerCommit * Wire.CONDITIONS_PER_OP,
                 maxValueBytes = settings.stateLimits.valueBytes - VALUE_SLACK,
             )
-        metrics.gauge("dewwing.term", "Highest term known") { leadership.highestTerm.value }
-        metrics.gauge("dewwing.leading", "1 on the leader") { if (leading == null) 0 else 1 }
+        metrics.gauge("dewwing.term", "Highest term known") { elections.maxOf { it.leadership.highestTerm.value } }
+        metrics.gauge("dewwing.leading", "1 on the leader") { if (leaders.isEmpty()) 0 else 1 }
+        metrics.gauge("dewwing.shards.owned", "Shards that this controller owns") { sharded?.elections?.count { it.leading != null } ?: 0 }
     }
 
     private fun warnOfNoRoom(times: LeadershipTimes) {
@@ -202,11 +214,17 @@
         }
 
     private fun scrape(): HttpAnswer {
-        val scheduler = leading?.scheduler
-        val text = metrics.scrape(scheduler?.queueByClass() ?: emptyMap(), scheduler?.machinesByState() ?: emptyMap())
+        val schedulers = leaders.mapNotNull { it.scheduler }
+        val text = metrics.scrape(summed(schedulers.map { it.queueByClass() }), summed(schedulers.map { it.machinesByState() }))
         return HttpAnswer(200, text.toByteArray(), contentType = "text/plain; version=0.0.4")
     }
 
+    private fun summed(parts: List<Map<String, Int>>): Map<String, Int> {
+        val sum = LinkedHashMap<String, Int>()
+        for (part in parts) for ((name, count) in part) sum.merge(name, count, Int::plus)
+        return sum
+    }
+
     /** A worker's report. Only a 200 with our term renews its lease, so that answer rests on our authority now. */
     private suspend fun report(request: HttpRequest): HttpAnswer {
         val report =
@@ -215,88 +233,106 @@
             } catch (e: MalformedException) {
                 return HttpAnswer.error(400, e.message ?: "malformed")
             }
+        // Nobody can tell yet whose machine it is: the worker asks again.
+        val control = sharded
+        val election =
+            (if (control == null) single else control.electionOf(report.machine)) ?: return HttpAnswer.of(421, Wire.redirect(null))
+        val answer = report(report, election)
+        if (answer.status == 200) election.shard?.let { control?.reportAnswered(it) }
+        return answer
+    }
+
+    private suspend fun report(
+        report: Report,
+        election: LeaderElection,
+    ): HttpAnswer {
+        val leadership = election.leadership
         leadership.heardTerm(report.term)
-        val lead = leading
+        val lead = election.leading
         var authority = leadership.authority(now(), state.failing)
         // Also while nothing may be answered: workers that come in vain are no sign that they cannot come.
         lead?.heardWorker()
-        if (lead == null || authority == Authority.NONE) return elsewhere()
+        if (lead == null || authority == Authority.NONE) return elsewhere(election)
         val scheduler = lead.scheduler
         if (scheduler == null) {
             // Without the picture nobody here knows which of its tasks are cancelled.
-            if (authority != Authority.FULL || !leadership.mayInherit(lead.predecessorReady)) return elsewhere()
+            if (authority != Authority.FULL || !leadership.mayInherit(lead.predecessorReady)) return elsewhere(election)
             return HttpAnswer.of(200, Wire.reportAnswer(lead.term, emptyList()))
         }
-        if (!leadership.informed(now())) return elsewhere()
+        if (!leadership.informed(now())) return elsewhere(election)
         scheduler.onReport(report, now())
         if (authority == Authority.FULL) {
             lead.settle(scheduler, report.machine)
             authority = leadership.authority(now(), state.failing)
-            if (leading !== lead || authority == Authority.NONE || !leadership.informed(now())) return elsewhere()
+            if (election.leading !== lead || authority == Authority.NONE || !leadership.informed(now())) return elsewhere(election)
         }
-        val commands = scheduler.commands(report, now(), mayStart = authority == Authority.FULL && seesCancellations())
-        return HttpAnswer.of(200, Wire.reportAnswer(lead.term, commands))
+        val mayStart = authority == Authority.FULL && seesCancellations(leadership)
+        return HttpAnswer.of(200, Wire.reportAnswer(lead.term, scheduler.commands(report, now(), mayStart)))
     }
 
     /** A start logged before its job was cancelled elsewhere must not go out once that could be seen no more. */
-    private fun seesCancellations() = now() - state.lastAnswered <= START_FRESH && leadership.mayStart(now())
-
-    private fun elsewhere(): HttpAnswer = HttpAnswer.of(421, Wire.redirect(otherLeader()))
+    private fun seesCancellations(leadership: Leadership) = now() - state.lastAnswered <= START_FRESH && leadership.mayStart(now())
 
-    /** The name of the leader, if it is another controller and was confirmed lately. */
-    private fun otherLeader(): String? = leaderName?.takeIf { it != settings.node && now() - leaderSeenAt < LEADER_FRESH }
-
-    private fun sawLeader(name: String?) {
-        leaderName = name
-        leaderSeenAt = now()
-    }
+    private fun elsewhere(election: LeaderElection): HttpAnswer = HttpAnswer.of(421, Wire.redirect(election.otherLeader()))
 
     // ---- siblings --------------------------------------------------------------------------------------------
 
-    private fun ownState(): PeerState {
-        val sure = leading != null || now() - leaderReadAt < LEADER_FRESH
-        return PeerState(
+    private fun ownState(): PeerState =
+        PeerState(
             reachesState = !state.failing && state.lastAnswered > Instant.NEVER,
-            highestTerm = leadership.highestTerm,
-            leader = leaderName?.takeIf { sure } ?: "",
+            highestTerm = single.leadership.highestTerm,
+            leader = single.leaderName?.takeIf { single.isSure } ?: "",
             incarnation = incarnation,
+            sharing = if (sharing == null) null else sharded?.status() ?: SharingStatus(isDraining, emptyList()),
         )
-    }
+
+    /** What the leaders here had read when a heartbeat was asked for. */
+    private class Question(
+        val jobsKnown: Map<Leader, Revision>,
+    )
 
     private suspend fun exchangeHeartbeats(
         name: String,
         client: PeerClient,
     ) {
-        while (true) {
-            val sent = now()
-            try {
-                val lead = leading
-                val answer = client.ask(PeerRequest.Heartbeat(settings.node, ownState(), lead?.jobsKnown), HEARTBEAT_TIMEOUT_MS)
-                if (answer is PeerAnswer.Heartbeat) onHeartbeat(name, answer, sent, lead)
-            } catch (e: IOException) {
-                log.debug("no heartbeat from {}: {}", name, e.message)
-            }
-            // The leader's outage rule rests on fresh heartbeats; for the rest, seven controllers asking each other twice a
-            // second cost more processor time than all else that followers do.
-            val eager = leading != null || state.failing || peers.size <= FEW_SIBLINGS
-            delay(if (eager) HEARTBEAT_EVERY_MS else IDLE_HEARTBEAT_EVERY_MS)
-        }
+        HeartbeatExchange(settings.node, name, client, ::now, ::ownState, ::heartbeatEveryMs).run(
+            question = { Question(leaders.mapNotNull { lead -> lead.jobsKnown?.let { lead to it } }.toMap()) },
+            jobsKnown = { question -> question.jobsKnown.values.minOrNull() },
+            onAnswer = ::onHeartbeat,
+        )
+    }
+
+    /**
+     * The leader's outage rule rests on fresh heartbeats; for the rest, seven controllers asking each other twice a second
+     * cost more processor time than all else that followers do.
+     */
+    private fun heartbeatEveryMs(): Long {
+        val eager = leaders.isNotEmpty() || state.failing || peers.size <= FEW_SIBLINGS
+        return if (eager) HEARTBEAT_EVERY_MS else IDLE_HEARTBEAT_EVERY_MS
     }
 
     private fun onHeartbeat(
-        name: String,
-        answer: PeerAnswer.Heartbeat,
-        sent: Instant,
-        askedAs: Leader?,
+        heard: HeardHeartbeat,
+        asked: Question,
     ) {
-        val said = answer.heartbeat
-        for (c in answer.cancellations ?: emptyList()) leading?.scheduler?.onCancelled(c.job, c.revision, now())
-        // Dated when it was asked for: the sibling said it later than that, never earlier.
-        val hasAllCancellations = answer.cancellations != null && askedAs === leading
-        val heartbeat = PeerHeartbeat(sent, said.reachesState, said.highestTerm, said.incarnation, hasAllCancellations)
-        heartbeats[name] = heartbeat
-        leadership.heard(name, heartbeat, now())
-        hearLeader(said)
+        heartbeats[heard.sibling] = heard
+        for (c in heard.cancellations ?: emptyList()) for (lead in leaders) lead.scheduler?.onCancelled(c.job, c.revision, now())
+        for (election in elections) hear(election, heard, asked)
+    }
+
+    private fun hear(
+        election: LeaderElection,
+        heard: HeardHeartbeat,
+        asked: Question,
+    ) {
+        val said = heard.state
+        val shard = election.shard
+        val ofShard = if (shard == null) null else said.sharing?.shards?.getOrNull(shard.index)
+        val highestTerm = if (shard == null) said.highestTerm else ofShard?.highestTerm ?: Term.NONE
+        val hasAllCancellations = heard.cancellations != null && election.leading?.let { it in asked.jobsKnown } != false
+        val heartbeat = PeerHeartbeat(heard.askedAt, said.reachesState, highestTerm, said.incarnation, hasAllCancellations)
+        election.leadership.heard(heard.sibling, heartbeat, now())
+        election.hearLeader(if (shard == null) said.leader else ofShard?.leader ?: "", highestTerm)
     }
 
     /**
@@ -308,27 +344,20 @@
         revision: Revision,
     ) {
         confirmed.note(Cancellation(job, revision))
-        leading?.scheduler?.onCancelled(job, revision, now())
-    }
-
-    private fun hearLeader(heartbeat: PeerState) {
-        val fresher = heartbeat.leader == leaderName || now() - leaderReadAt >= LEADER_FRESH || leaderName == null
-        if (fresher && leading == null && heartbeat.leader.isNotEmpty() && heartbeat.leader != settings.node &&
-            heartbeat.highestTerm >= leadership.highestTerm
-        ) {
-            sawLeader(heartbeat.leader)
-        }
+        for (lead in leaders) lead.scheduler?.onCancelled(job, revision, now())
     }
 
     private suspend fun answerPeer(request: PeerRequest): PeerAnswer =
         when (request) {
             is PeerRequest.Heartbeat -> {
-                leadership.heardTerm(request.heartbeat.highestTerm)
-                PeerAnswer.Heartbeat(ownState(), request.jobsKnown?.let(confirmed::since))
+                heardTerms(request.heartbeat)
+                // Versions that know no shards are answered in their own words.
+                val own = if (request.heartbeat.sharing == null) ownState().copy(sharing = null) else ownState()
+                PeerAnswer.Heartbeat(own, request.jobsKnown?.let(confirmed::since))
             }
 
             is PeerRequest.Counts -> {
-                val counts = JobRef.parse(request.ref)?.let { leading?.scheduler?.counts(it) }
+                val counts = JobRef.parse(request.ref)?.let(::ownCounts)
                 PeerAnswer.Counts(counts != null, counts?.running ?: 0, counts?.done ?: 0)
             }
 
@@ -338,12 +367,30 @@
             }
         }
 
+    private fun heardTerms(heartbeat: PeerState) {
+        single.leadership.heardTerm(heartbeat.highestTerm)
+        val control = sharded ?: return
+        val shards = heartbeat.sharing?.shards ?: return
+        for ((election, status) in control.elections.zip(shards)) election.leadership.heardTerm(status.highestTerm)
+    }
+
+    private fun ownCounts(ref: JobRef): JobCounts? = leaders.firstNotNullOfOrNull { it.scheduler?.counts(ref) }
+
     private fun peersHeardLately(): Set<String> {
         val at = now()
-        return heartbeats.filter { (at - it.value.at).ms < RELAY_HEARTBEAT_AGE_MS }.keys
+        return heartbeats.filter { (at - it.value.askedAt).ms < RELAY_HEARTBEAT_AGE_MS }.keys
     }
 
-    private fun peersReachingState(): List<String> = peersHeardLately().filter { heartbeats[it]?.reachesState == true }
+    override fun sharingPeers(): List<SharingPeer> =
+        peersHeardLately().mapNotNull { name ->
+            val said = heartbeats[name]?.state
+            said?.sharing?.let { SharingPeer(name, said.reachesState, it) }
+        }
+
+    override var isDraining = false
+        private set
+
+    private fun peersReachingState(): List<String> = peersHeardLately().filter { heartbeats[it]?.state?.reachesState == true }
 
     override val cutOffAlone: Boolean get() = state.failing && peersReachingState().isNotEmpty()
 
@@ -365,10 +412,19 @@
         }
     }
 
-    override suspend fun counts(ref: JobRef): JobCounts? {
-        leading?.scheduler?.let { return it.counts(ref) }
+    override fun destinationOf(ref: JobRef): JobDestination {
+        val control = sharded ?: return JobDestination(null)
+        return JobDestination(control.shardOf(ref), listOf(control.markerCondition))
+    }
+
+    override suspend fun counts(
+        ref: JobRef,
+        shard: ShardId?,
+    ): JobCounts? {
+        ownCounts(ref)?.let { return it }
         if (now() < noCountsUntil) return null
-        val client = peers[leaderName ?: return null] ?: return null
+        val election = sharded?.electionOf(shard ?: ShardId.FIRST) ?: single
+        val client = peers[election.leaderName ?: return null] ?: return null
         return try {
             val answer = client.ask(PeerRequest.Counts(ref.value), COUNTS_MS)
             if (answer !is PeerAnswer.Counts || !answer.known) {
@@ -418,22 +474,12 @@
     private suspend fun electForEver() {
         while (true) {
             try {
-                val seen = readTerm()
-                if (seen.holder != null && seen.holderName != settings.node) {
-                    sawLeader(seen.holderName)
-                    leaderReadAt = leaderSeenAt
-                } else if (seen.holder == null && now() < standBackUntil) {
-                    leaderName = null
-                } else if (seen.holder == null) {
-                    leaderName = null
-                    // Siblings see the hold end at the same moment.
-                    delay(Random.nextLong(ELECTION_JITTER_MS))
-                    stand(seen)?.let { lead(it) }
-                } else {
-                    // Left by our own earlier life, or by an election whose change came late: nobody leads under it,
-                    // and nobody can be elected while it lasts.
-                    leaderName = null
-                    (seen.holder.value?.get("hold") as? Long)?.let { state.dropHold(HoldId(it)) }
+                val seen = readTerms()
+                val marker = seen.marker
+                when {
+                    marker == null -> electSingle(seen)
+                    sharing == null -> sharingSwitch.closeIfAbandoned(seen.term, marker)
+                    else -> share(marker, sharing)
                 }
             } catch (e: IOException) {
                 log.debug("state service: {}", e.message)
@@ -444,116 +490,188 @@
         }
     }
 
-    /** [ready]: whoever was elected for [term] came to have its picture; true as well when nobody ever was. */
-    private class TermSeen(
-        val term: Term,
-        val revision: Revision,
-        val holder: Wire.Entry?,
-        val holderName: String?,
-        val ready: Boolean,
-    )
+    /** The records that say who leads. */
+    private class TermRecords(
+        entries: List<Wire.Entry>,
+    ) {
+        private val byKey = entries.associateBy { it.key }
+        val term = byKey[Keys.TERM]
+        private val holder = byKey[Keys.HOLDER]
+        val single = TermSeen.of(term, holder, byKey[Keys.READY])
+        val marker = holder?.let { SharingMarker.of(it.value, it.revision) }
+
+        /** Shards have had owners of their own. */
+        val wasShared = Keys.SHARED in byKey
+    }
 
-    private suspend fun readTerm(): TermSeen {
-        var term = Term.NONE
-        var revision = Revision.ABSENT
-        var holder: Wire.Entry? = null
-        var ready = Term.NONE
+    private suspend fun readTerms(): TermRecords {
+        val entries = ArrayList<Wire.Entry>()
         // A short wait: after a cut, a read that hangs would hide for seconds that the service answers again.
-        state.list(Keys.TERM, TERM_READ_MS) { entries ->
-            for (e in entries) {
-                if (e.key == Keys.TERM) {
-                    term = Term((e.value?.get("n") as? Long) ?: 0)
-                    revision = e.revision
-                }
-                if (e.key == Keys.HOLDER) holder = e
-                if (e.key == Keys.READY) ready = Term((e.value?.get("n") as? Long) ?: 0)
-            }
+        state.list(Keys.TERM, TERM_READ_MS) { entries.addAll(it) }
+        val records = TermRecords(entries)
+        single.leadership.heardTerm(records.single.term)
+        wasShared = records.wasShared
+        return records
+    }
+
+    private var wasShared = false
+
+    private suspend fun electSingle(records: TermRecords) {
+        val seen = records.single
+        if (seen.holder != null && seen.holderName != settings.node) {
+            single.readLeader(seen.holderName)
+            return
+        }
+        if (seen.holder != null) {
+            single.clearOwnHolder(seen)
+            return
         }
-        leadership.heardTerm(term)
-        return TermSeen(term, revision, holder, holder?.value?.get("node") as? String, ready >= term)
+        single.readNoLeader()
+        if (single.mustStandBack) return
+        val elected = single.stand(candidacy(seen)) { readTerms().single } ?: return
+        coroutineScope {
+            val opening = sharing?.let { launch { openSharing(elected, it) } }
+            single.lead(elected)
+            opening?.cancel()
+        }
+    }
+
+    private fun candidacy(seen: TermSeen): Candidacy {
+        val term = seen.term.next()
+        return Candidacy(
+            term = term,
+            conditions = listOf(Keys.TERM to seen.revision, Keys.HOLDER to Revision.ABSENT),
+            puts = { hold ->
+                listOf(
+                    Keys.TERM to TermSeen.termValue(term, settings.node),
+                    Keys.HOLDER to TermSeen.holderValue(term, settings.node, hold),
+                )
+            },
+            holderKey = Keys.HOLDER,
+            predecessorReady = seen.ready,
+        )
     }
 
-    private class Elected(
-        val term: Term,
-        val revision: Revision,
-        val hold: HoldId,
-        val holdSentAt: Instant,
-        val predecessorReady: Boolean,
+    private fun newSingleLeader(
+        election: LeaderElection,
+        elected: Elected,
+    ): Leader = newLeader(elected, election.leadership, SchedulerScope.single(elected.revision), coreSettings(1))
+
+    override fun newShardLeader(
+        elected: Elected,
+        leadership: Leadership,
+        scope: SchedulerScope,
+        ownsMachine: (Scheduler, MachineId) -> Boolean,
+        beforeDeciding: suspend (Scheduler) -> Unit,
+    ): Leader = newLeader(elected, leadership, scope, coreSettings(sharded?.elections?.size ?: 1), ownsMachine, beforeDeciding)
+
+    /** Of the rates, each of [schedulers] has its part. */
+    private fun coreSettings(schedulers: Int) =
+        CoreSettings(
+            settings.teams,
+            settings.objectives,
+            settings.workers,
+            settings.stateLimits.copy(writesPerS = settings.stateLimits.writesPerS / schedulers),
+            settings.cloudLimits.copy(requestsPerS = settings.cloudLimits.requestsPerS / schedulers),
+            tunables,
+            hasSiblings = peers.isNotEmpty(),
+            writeBurst = if (schedulers == 1) 0.0 else shardBurst(),
+        )
+
+    /** A whole transaction, as long as that is within what a single leader could make at once. */
+    private fun shardBurst(): Double =
+        minOf(settings.stateLimits.opsPerCommit.toDouble(), settings.stateLimits.writesPerS * tunables.writeShare)
+
+    private fun newLeader(
+        elected: Elected,
+        leadership: Leadership,
+        scope: SchedulerScope,
+        core: CoreSettings,
+        ownsMachine: (Scheduler, MachineId) -> Boolean = { _, _ -> true },
+        beforeDeciding: suspend (Scheduler) -> Unit = {},
+    ) = Leader(
+        term = elected.term,
+        termRevision = elected.revision,
+        scope = scope,
+        predecessorReady = elected.predecessorReady,
+        hold = elected.hold,
+        leadership = leadership,
+        state = state,
+        cloud = cloud,
+        workers = workers,
+        core = core,
+        options = options,
+        metrics = metrics,
+        clock = this,
+        knownTypes = { types },
+        onTypes = ::learned,
+        hasSiblings = peers.isNotEmpty(),
+        siblingsHeard = { peersHeardLately().isNotEmpty() },
+        wasShared = wasShared,
+        ownsMachine = ownsMachine,
+        beforeDeciding = beforeDeciding,
     )
 
-    private suspend fun stand(seen: TermSeen): Elected? {
-        val sent = now()
-        val hold = state.createHold(options.holdTtl)
-        val term = seen.term.next()
-        val change =
-            StateChange(
-                conditions = listOf(Keys.TERM to seen.revision, Keys.HOLDER to Revision.ABSENT),
-                puts =
-                    listOf(
-                        Keys.TERM to mapOf("n" to term.value, "node" to settings.node),
-                        Keys.HOLDER to mapOf("n" to term.value, "node" to settings.node, "hold" to hold.value),
-                    ),
-            )
-        val result =
+    // ---- sharing ---------------------------------------------------------------------------------------------
+
+    private suspend fun share(
+        marker: SharingMarker,
+        sharing: SharingOptions,
+    ) {
+        if (marker.layout.count != sharing.shards) log.warn("there are {} shards until sharing is switched off", marker.layout.count)
+        val control = ShardedControl(marker, settings, sharing, options.holdTtl, times, state, this, metrics, tracing)
+        sharded = control
+        try {
+            control.run()
+        } finally {
+            sharded = null
+        }
+    }
+
+    /** While this controller leads alone: goes over to shards once every sibling is ready for them. */
+    private suspend fun openSharing(
+        elected: Elected,
+        sharing: SharingOptions,
+    ) {
+        var reason: String? = null
+        var cleared = false
+        while (true) {
+            delay(OPEN_POLL_MS)
+            val leader = single.leading ?: continue
+            val obstacle = obstacleToSharing(leader)
+            if (obstacle != null) {
+                if (obstacle != reason) log.info("sharing waits: {}", obstacle)
+                reason = obstacle
+                continue
+            }
             try {
-                state.commit(change, hold, Keys.HOLDER)
-            } catch (e: StateUnavailableException) {
-                if (e.certainlyNot) return null
-                // Unknown: the holder's record tells, since nobody else has our hold's number.
-                val again = readTerm()
-                if (again.holder?.value?.get("hold") != hold.value || again.term != term) return null
-                CommitResult.Applied(again.revision)
+                if (!cleared) sharingSwitch.clear(elected.revision)
+                cleared = true
+                leader.suspendDecisions()
+                if (sharingSwitch.open(
+                        elected.term,
+                        elected.revision,
+                        ShardLayout(sharing.shards),
+                    )
+                ) {
+                    leader.handOver("shards get owners of their own")
+                }
+            } catch (e: IOException) {
+                log.debug("sharing not switched on: {}", e.message)
             }
-        if (result is CommitResult.Applied) return Elected(term, result.revision, hold, sent, seen.ready)
-        try {
-            state.dropHold(hold)
-        } catch (e: IOException) {
-            log.debug("hold not dropped: {}", e.message)
+            // Not switched on for certain: whether it was shows in the term's key, on which every change depends.
+            leader.resumeDecisions()
         }
-        return null
     }
 
-    private suspend fun lead(elected: Elected) {
-        log.info("elected for term {}", elected.term)
-        sawLeader(settings.node)
-        leadership.elected(elected.term, elected.holdSentAt)
-        val leader =
-            Leader(
-                term = elected.term,
-                termRevision = elected.revision,
-                predecessorReady = elected.predecessorReady,
-                hold = elected.hold,
-                leadership = leadership,
-                state = state,
-                cloud = cloud,
-                workers = workers,
-                core =
-                    CoreSettings(
-                        settings.teams,
-                        settings.objectives,
-                        settings.workers,
-                        settings.stateLimits,
-                        settings.cloudLimits,
-                        tunables,
-                        hasSiblings = peers.isNotEmpty(),
-                    ),
-                options = options,
-                metrics = metrics,
-                clock = this,
-                knownTypes = { types },
-                onTypes = ::learned,
-                hasSiblings = peers.isNotEmpty(),
-                siblingsHeard = { peersHeardLately().isNotEmpty() },
-            )
-        leading = leader
-        try {
-            leader.run()
-        } finally {
-            leadership.resign()
-            leading = null
-            leaderName = null
-            if (leader.lostWorkers) standBackUntil = now() + STAND_BACK
-            log.info("term {} is over", elected.term)
+    private fun obstacleToSharing(leader: Leader): String? {
+        val scheduler = leader.scheduler ?: return "the leader has not read its records"
+        val ready = sharingPeers().mapTo(HashSet()) { it.name }
+        val missing = peers.keys.firstOrNull { it !in ready }
+        return when {
+            missing != null -> "$missing is not heard, or shares nothing"
+            scheduler.hasShardJobs() -> "jobs of an earlier time of sharing are not over"
+            else -> null
         }
     }
 
@@ -571,7 +689,6 @@
         private const val HEARTBEAT_EVERY_MS = 500L
         private const val IDLE_HEARTBEAT_EVERY_MS = 1_500L
         private const val FEW_SIBLINGS = 2
-        private const val HEARTBEAT_TIMEOUT_MS = 1_000L
         private const val RELAY_HEARTBEAT_AGE_MS = 3_000L
         private const val RELAY_MS = 900L
 
@@ -580,14 +697,12 @@
         private const val COUNTS_MS = 300L
         private val COUNTS_PAUSE = Span(1_000)
         private const val TYPES_RETRY_MS = 1_000L
-        private val LEADER_FRESH = Span(3_000)
 
         /** The hold is renewed oftener than this, so silence for so long is one. */
         private val START_FRESH = Span(1_200)
-        private val STAND_BACK = Span(10_000)
         private const val TERM_READ_MS = 1_000L
         private const val ELECTION_POLL_MS = 400L
-        private const val ELECTION_JITTER_MS = 120L
+        private const val OPEN_POLL_MS = 500L
         private const val FIRST_MS = 5_000L
         private const val IDLE_MS = 60_000L
         private const val REQUEST_MS = 10_000L
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -9,11 +9,15 @@
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.RecordKeys
+import dewwing.control.core.intent.RecordKind
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.leadership.Authority
 import dewwing.control.core.leadership.Leadership
 import dewwing.control.core.leadership.WorkerWatch
+import dewwing.control.core.sharing.SchedulerScope
+import dewwing.control.core.sharing.ShardId
 import dewwing.control.state.CommitResult
 import dewwing.control.state.FollowResult
 import dewwing.control.state.StateClient
@@ -44,6 +48,7 @@
 class Leader(
     val term: Term,
     private val termRevision: Revision,
+    private val scope: SchedulerScope,
     /** The leader before this one had read its picture. */
     val predecessorReady: Boolean,
     private val hold: HoldId,
@@ -59,11 +64,23 @@
     private val onTypes: (List<MachineType>) -> Unit,
     /** There are siblings to hand over to. */
     private val hasSiblings: Boolean,
-    /** Words of siblings arrive at all. */
+    /** Heartbeats of siblings arrive at all. */
     private val siblingsHeard: () -> Boolean,
+    /** Shards have had owners of their own: their records are read too. */
+    private val wasShared: Boolean = false,
+    /** Which machines of the cloud's list are this scheduler's. */
+    private val ownsMachine: (Scheduler, MachineId) -> Boolean = { _, _ -> true },
+    /** Reads what the scheduler must know besides its records before it decides anything. */
+    private val beforeDeciding: suspend (Scheduler) -> Unit = {},
 ) {
     private val log = LoggerFactory.getLogger("leader")
     private val signal = Channel<Unit>(Channel.CONFLATED)
+
+    /** Conditions of every change under this term. */
+    val guards = scope.guards.map { it.key to it.revision }
+
+    /** One controller at a time stores the machine types: the single leader, or the owner of the first shard. */
+    private val storesTypes = scope.shard == null || scope.shard == ShardId.FIRST
     private var work: Job? = null
 
     /** Null until the picture is rebuilt from the state service. */
@@ -117,7 +134,7 @@
             all.join()
             // Given back at once, or nobody could be elected until it runs out.
             try {
-                if (lostWorkers) state.dropHold(hold)
+                if (lostWorkers || handedOver) state.dropHold(hold)
             } catch (e: IOException) {
                 log.debug("hold not given back: {}", e.message)
             }
@@ -129,6 +146,29 @@
         work?.cancel()
     }
 
+    /** The term was ended for somebody else to take over at once. */
+    private var handedOver = false
+
+    /** Ends the term and gives its lease back, so that another controller can be elected without waiting for it to run out. */
+    fun handOver(reason: String) {
+        handedOver = true
+        end(reason)
+    }
+
+    /** Set while decisions are to stop although the term goes on. */
+    private var suspended = false
+
+    /** Nothing is decided from now on; returns once the change under way has its outcome. */
+    suspend fun suspendDecisions() {
+        suspended = true
+        while (scheduler?.isWriting == true) delay(ROUND_MIN_MS)
+    }
+
+    fun resumeDecisions() {
+        suspended = false
+        wake()
+    }
+
     private suspend fun renew() {
         while (true) {
             val sent = clock.now()
@@ -187,22 +227,16 @@
             try {
                 val asked = clock.now()
                 val wallOffset = clock.wallMs() - clock.now().ms
-                val s = Scheduler(core, term, termRevision, clock.now(), wallOffset)
+                val s = Scheduler(core, term, termRevision, clock.now(), wallOffset, scope)
                 s.onTypes(knownTypes())
                 val since =
                     state.list(Keys.JOBS) { page ->
                         for (e in page) readJob(e) { ref, record -> s.restoreJob(ref, record, e.revision) }
                     }
-                state.list(Keys.LOGS) { page ->
-                    for (e in page) read(e) { s.restoreLog(e.key, LogRecord.of(it)) }
-                }
-                state.list(Keys.RENTS) { page ->
-                    for (e in page) read(e) { s.restoreRent(e.key, RentRecord.of(it), clock.now()) }
-                }
-                state.list(Keys.RELEASES) { page ->
-                    for (e in page) read(e) { s.restoreRelease(e.key, ReleaseRecord.of(e.key, it)) }
+                for (prefix in recordPrefixes()) {
+                    state.list(prefix) { page -> for (e in page) restoreRecord(s, e) }
                 }
-                state.list(Keys.FENCES) { page -> for (e in page) s.restoreFence(e.key) }
+                beforeDeciding(s)
                 s.restored(clock.now())
                 scheduler = s
                 readJobs(since, asked)
@@ -214,9 +248,26 @@
         }
     }
 
+    /** A single leader reads the records of shards too if there ever were any. */
+    private fun recordPrefixes(): List<String> =
+        if (scope.shard == null && wasShared) scope.recordPrefixes + RecordKeys.SHARDS else scope.recordPrefixes
+
+    private fun restoreRecord(
+        s: Scheduler,
+        entry: Wire.Entry,
+    ) = read(entry) { value ->
+        when (RecordKeys.kindOf(entry.key)) {
+            RecordKind.LOG -> s.restoreLog(entry.key, LogRecord.of(value))
+            RecordKind.RENT -> s.restoreRent(entry.key, RentRecord.of(value), clock.now())
+            RecordKind.RELEASE -> s.restoreRelease(entry.key, ReleaseRecord.of(entry.key, value))
+            RecordKind.FENCE -> s.restoreFence(entry.key)
+            null -> log.warn("record {} is of no known kind", entry.key)
+        }
+    }
+
     /** Tells a successor that whatever was cancelled before this term is known to its workers or to be killed. */
     private suspend fun markReady() {
-        val change = StateChange(listOf(Keys.TERM to termRevision), listOf(Keys.READY to mapOf("n" to term.value)))
+        val change = StateChange(guards, listOf(scope.readyKey to mapOf("n" to term.value)))
         while (true) {
             try {
                 state.commit(change)
@@ -250,7 +301,10 @@
     private inline fun readJob(
         entry: Wire.Entry,
         use: (JobRef, JobRecord) -> Unit,
-    ) = read(entry) { value -> Keys.jobOf(entry.key)?.let { ref -> use(ref, JobRecord.of(value)) } }
+    ) = read(entry) { value ->
+        val record = JobRecord.of(value)
+        if (scope.owns(record.shard)) Keys.jobOf(entry.key)?.let { ref -> use(ref, record) }
+    }
 
     // ---- listening -------------------------------------------------------------------------------------------
 
@@ -295,11 +349,11 @@
                     typesAt = clock.now()
                     onTypes(types)
                     scheduler?.onTypes(types)
-                    if (stored == null) stored = storeTypes(types)
+                    if (stored == null && storesTypes) stored = storeTypes(types)
                 }
                 val list = cloud.machines()
                 listEveryMs = CloudClient.listEveryMs(list.size, core.cloud.requestsPerS)
-                scheduler?.onList(list, clock.now())
+                scheduler?.let { s -> s.onList(list.filter { ownsMachine(s, it.id) }, clock.now()) }
             } catch (e: IOException) {
                 log.info("cloud: {}", e.message)
             } catch (e: MalformedException) {
@@ -315,7 +369,7 @@
             val before = state.get(Keys.TYPES)?.revision ?: Revision.ABSENT
             val change =
                 StateChange(
-                    listOf(Keys.TERM to termRevision, Keys.TYPES to before),
+                    guards + (Keys.TYPES to before),
                     listOf(Keys.TYPES to Wire.machineTypesMap(types)),
                 )
             if (state.commit(change) is CommitResult.Applied) types else null
@@ -328,7 +382,7 @@
     private suspend fun decide(scope: CoroutineScope) {
         while (true) {
             val s = scheduler ?: return
-            if (leadership.authority(clock.now(), state.failing) == Authority.FULL) {
+            if (!suspended && leadership.authority(clock.now(), state.failing) == Authority.FULL) {
                 val begun = System.nanoTime()
                 val until = begun + options.roundBudget.ms * 1_000_000
                 val effects = s.round(clock.now()) { System.nanoTime() < until }
--- a/src/main/kotlin/dewwing/control/app/Main.kt
+++ b/src/main/kotlin/dewwing/control/app/Main.kt
@@ -10,8 +10,12 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.double
+import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.restrictTo
 import dewwing.control.core.Tunables
+import dewwing.control.core.sharing.PlannerPolicy
+import dewwing.control.sharing.LogSpanExporter
+import dewwing.control.sharing.SharingOptions
 import dewwing.protocol.BadSettingsException
 import dewwing.protocol.Settings
 import dewwing.protocol.Span
@@ -82,6 +86,46 @@
         .restrictTo(min = 1.0)
         .default(40.0)
 
+    val shards by option(
+        "--shards",
+        envvar = "DEWWING_SHARDS",
+        metavar = "N",
+        help = "split all work into N shards, each with an owner among the controllers; 0: a single leader does it all (0)",
+    ).int()
+        .restrictTo(min = 0)
+        .default(0)
+    val shardSettleS by option(
+        "--shard-settle",
+        envvar = "DEWWING_SHARD_SETTLE",
+        metavar = "S",
+        help = "seconds for which an owner waits for its starts to show before it hands a shard over (3)",
+    ).double()
+        .restrictTo(min = 0.1)
+        .default(3.0)
+    val shardMoveIntervalS by option(
+        "--shard-move-interval",
+        envvar = "DEWWING_SHARD_MOVE_INTERVAL",
+        metavar = "S",
+        help = "least seconds between two moves that even out load (30)",
+    ).double()
+        .restrictTo(min = 1.0)
+        .default(30.0)
+    val shardMoveDeadlineS by option(
+        "--shard-move-deadline",
+        envvar = "DEWWING_SHARD_MOVE_DEADLINE",
+        metavar = "S",
+        help = "seconds after which a move that has not come about is withdrawn (60)",
+    ).double()
+        .restrictTo(min = 1.0)
+        .default(60.0)
+    val shardDrillS by option(
+        "--shard-drill",
+        envvar = "DEWWING_SHARD_DRILL",
+        metavar = "S",
+        help = "move one shard after another every S seconds whatever the load, as a drill (never)",
+    ).double().restrictTo(min = 1.0)
+    val traceMoves by option("--trace-moves", envvar = "DEWWING_TRACE_MOVES", help = "log a span for each phase of a shard's move").flag()
+
     init {
         versionOption(VERSION)
     }
@@ -100,6 +144,8 @@
             } catch (e: BadSettingsException) {
                 fail("$path: ${e.message}")
             }
+        val sharing = sharingOptions()
+        sharing?.problem(settings)?.let { fail(it) }
         if (check) {
             echo("$path: ok")
             return
@@ -112,7 +158,18 @@
                 writeShare = writeShare,
                 idleKeep = Span.ofSeconds(idleS),
             )
-        serve(settings, tunables, Options(Span.ofSeconds(holdS), Span(budgetMs.toLong())))
+        serve(settings, tunables, Options(Span.ofSeconds(holdS), Span(budgetMs.toLong())), sharing, traceMoves)
+    }
+
+    private fun sharingOptions(): SharingOptions? {
+        if (shards == 0) return null
+        val policy =
+            PlannerPolicy(
+                moveInterval = Span.ofSeconds(shardMoveIntervalS),
+                moveDeadline = Span.ofSeconds(shardMoveDeadlineS),
+                drillInterval = shardDrillS?.let(Span::ofSeconds),
+            )
+        return SharingOptions(shards, policy, Span.ofSeconds(shardSettleS))
     }
 
     private fun fail(message: String): Nothing {
@@ -130,12 +187,15 @@
     settings: Settings,
     tunables: Tunables,
     options: Options,
+    sharing: SharingOptions?,
+    traceMoves: Boolean,
 ) {
     val selectorThread = Executors.newSingleThreadExecutor { r -> Thread(r, "selector").apply { isDaemon = true } }
     val selector = ActorSelectorManager(selectorThread.asCoroutineDispatcher())
     val metrics = Metrics()
     runBlocking {
-        Controller(settings, tunables, options, selector, metrics).run()
+        val tracing = if (sharing != null && traceMoves) LogSpanExporter.tracing() else null
+        Controller(settings, tunables, options, selector, metrics, sharing, tracing).run()
     }
 }
 
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -7,6 +7,7 @@
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
 import dewwing.control.core.intent.Ranges
+import dewwing.control.core.intent.RecordKeys
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.intent.SplitPlacement
@@ -24,6 +25,12 @@
 import dewwing.control.core.placement.Preference
 import dewwing.control.core.placement.Room
 import dewwing.control.core.quota.Quota
+import dewwing.control.core.sharing.ClaimBook
+import dewwing.control.core.sharing.MachineClaim
+import dewwing.control.core.sharing.SchedulerScope
+import dewwing.control.core.sharing.TeamAmount
+import dewwing.control.core.sharing.TeamDemand
+import dewwing.control.core.sharing.Unsettled
 import dewwing.protocol.Command
 import dewwing.protocol.EndCause
 import dewwing.protocol.Endpoint
@@ -38,10 +45,12 @@
 import dewwing.protocol.Position
 import dewwing.protocol.Report
 import dewwing.protocol.ReportedTask
+import dewwing.protocol.Resources
 import dewwing.protocol.Revision
 import dewwing.protocol.Span
 import dewwing.protocol.Step
 import dewwing.protocol.TaskStage
+import dewwing.protocol.Team
 import dewwing.protocol.Term
 import org.slf4j.LoggerFactory
 import java.util.BitSet
@@ -63,10 +72,11 @@
 class Scheduler(
     private val settings: CoreSettings,
     val term: Term,
-    private val termRevision: Revision,
+    termRevision: Revision,
     private val startedAt: Instant,
     /** Time of day less steady time; used for the age of jobs only. */
     private val wallOffsetMs: Long,
+    private val scope: SchedulerScope = SchedulerScope.single(termRevision),
 ) {
     private val log = LoggerFactory.getLogger("scheduler")
     private val tunables = settings.tunables
@@ -85,7 +95,7 @@
     private val writes =
         TokenBucket(
             settings.state.writesPerS * tunables.writeShare,
-            maxOf(1.0, settings.state.writesPerS * tunables.writeShare),
+            maxOf(1.0, settings.state.writesPerS * tunables.writeShare, settings.writeBurst),
         )
     private var orphanLogs = ArrayList<String>()
     private var splitReader = SplitPlacementReader()
@@ -96,7 +106,8 @@
     private var batch: WriteBatch? = null
     private val effects = ArrayList<Effect>()
     private val aims = ClassAims(settings.objectives)
-    private val fleet = Fleet(settings, term, machines, types, quota, workCounter, aims, startedAt)
+    private val fleet = Fleet(settings, term, machines, types, quota, workCounter, aims, startedAt, scope.keys)
+    private val claims = scope.shard?.let { ClaimBook() }
     private val preemption = Preemption(quota, fleet::fetchS, ::canMeetDeadline)
 
     /**
@@ -133,7 +144,7 @@
     ) {
         // Final jobs keep their description while tasks of theirs may be on machines: those count until proven gone.
         val spec = record.spec ?: return
-        val job = Job(spec, revision, record.submittedAtMs)
+        val job = Job(spec, revision, record.submittedAtMs, record.shard)
         if (record.isFinal) {
             job.final = record.stage
             job.finalAt = startedAt
@@ -148,7 +159,7 @@
         key: String,
         record: LogRecord,
     ) {
-        val name = Keys.logOf(key) ?: return
+        val name = RecordKeys.logOf(key) ?: return
         val job = jobs[name.job]
         if (job == null) {
             orphanLogs.add(key)
@@ -214,9 +225,18 @@
         fleet.releaseLogged(key, record)
     }
 
+    /** Machines that a rental brought to this shard. */
+    fun restoreClaim(
+        key: String,
+        claim: MachineClaim,
+    ) {
+        claims?.restore(key, claim)
+        for (id in claim.machines ?: return) machines.getOrPut(id) { Machine(id, startedAt) }
+    }
+
     /** Fences of earlier terms guard nothing any more: their changes fail on the term. */
     fun restoreFence(key: String) {
-        if (Keys.termOfFence(key)?.let { it < term } == true) gcQueue.addFirst(startedAt to key)
+        if (RecordKeys.termOfFence(key)?.let { it < term } == true) gcQueue.addFirst(startedAt to key)
     }
 
     fun restored(now: Instant) {
@@ -254,7 +274,7 @@
         if (job == null) {
             val spec = record.spec ?: return
             if (record.isFinal || ref in closedRefs) return
-            val new = Job(spec, revision, record.submittedAtMs)
+            val new = Job(spec, revision, record.submittedAtMs, record.shard)
             jobs[ref] = new
             waitingJobs.add(new)
             noteUrgent(spec)
@@ -309,7 +329,7 @@
     private fun logKeys(job: Job): List<String> =
         job.logSteps.flatMap { step ->
             val parts = 0 until (job.logParts[step] ?: 0)
-            listOf(Keys.log(job.ref, step)) + parts.map { Keys.logPart(job.ref, step, it) }
+            listOf(job.keys.log(job.ref, step)) + parts.map { job.keys.logPart(job.ref, step, it) }
         }
 
     /**
@@ -627,6 +647,7 @@
             val stale = now - (m.lastListed ?: m.knownSince) > Span(settings.cloud.listLag.ms * 3 + FORGET_MS)
             if (stale && !m.up && m.attempts.isEmpty() && m.release != ReleaseStage.LOGGED) {
                 machines.remove(m.id)
+                claims?.machineGone(m.id, now)
                 forgotten[m.id] =
                     if (m.release == ReleaseStage.GONE) LAST_POSITION else maxOf(m.position, Position(m.lapsedSession, Long.MAX_VALUE))
             }
@@ -774,7 +795,7 @@
         val room = minOf(settings.state.opsPerCommit, writes.available(now).toInt())
         if (room <= 0) return
         val batch = WriteBatch(room)
-        val fence = Keys.fence(term, nextFence)
+        val fence = scope.keys.fence(term, nextFence)
         if (uncertain) raiseFence(batch, fence)
         for (job in jobs.values) {
             if (batch.isFull()) break
@@ -783,10 +804,12 @@
         // A share for the fleet, whose records name many machines each; the rest for what people wait for.
         addFleetWrites(batch, minOf(room, batch.changes + maxOf(1, room / FLEET_SHARE)), now)
         addSplitPlacements(batch, now)
-        quota.clearHolds()
-        placeAll(batch, now, mayGoOn)
-        quota.clearHolds()
-        fleet.plan(now, ranking(now), now.ms + wallOffsetMs)
+        if (!startsPaused) {
+            quota.clearHolds()
+            placeAll(batch, now, mayGoOn)
+            quota.clearHolds()
+            fleet.plan(now, ranking(now), now.ms + wallOffsetMs)
+        }
         for (job in jobs.values) {
             if (batch.isFull()) break
             val since = job.unloggedSince ?: continue
@@ -796,9 +819,10 @@
         }
         collectGarbage(batch, room, now)
         if (batch.isEmpty) return
-        batch.require(Keys.TERM, termRevision)
+        for (guard in scope.guards) batch.require(guard.key, guard.revision)
         batch.require(fence, Revision.ABSENT)
-        writes.tryTake(now, batch.changes.toDouble())
+        // A rental's claim comes on top of what there was room for.
+        writes.tryTake(now, minOf(batch.changes.toDouble(), writes.available(now)))
         this.batch = batch
         effects.add(Effect.Write(batch.toChange()))
     }
@@ -834,7 +858,13 @@
     ) {
         // A task that ended on a machine long unheard may have been started anew meanwhile: a successor must go on
         // counting that start until it is gone. A gang's tasks end together.
-        val value = JobRecord(JobStage.DONE, job.spec.takeIf { !job.isGang && job.live.isNotEmpty() }, job.submittedAtMs).toValue()
+        val value =
+            JobRecord(
+                JobStage.DONE,
+                job.spec.takeIf { !job.isGang && job.live.isNotEmpty() },
+                job.submittedAtMs,
+                job.shard,
+            ).toValue()
         batch.require(Keys.job(job.ref), job.revision)
         batch.put(Keys.job(job.ref), value)
         batch.onApplied { revision ->
@@ -859,6 +889,7 @@
         for ((key, record) in fleet.rentWrites()) {
             if (batch.isFull(room)) break
             if (record.rented == null) batch.create(key, record.toValue()) else batch.put(key, record.toValue())
+            claims?.addTo(batch, key, record.rented)
             batch.onApplied { fleet.rentWritten(key, record) }
         }
     }
@@ -1154,7 +1185,7 @@
         val step = job.takeStep()
         val attempts = begin(job, step, placed)
         val done = Ranges.fitting(job.unlogged(), left)
-        val key = Keys.log(job.ref, step)
+        val key = job.keys.log(job.ref, step)
         batch.require(Keys.job(job.ref), job.revision)
         batch.create(key, LogRecord(placed.map { LogRecord.Placed(it.machine.id, it.tasks) }, done).toValue())
         batch.onApplied {
@@ -1167,6 +1198,12 @@
         batch.onRefused { for (attempt in attempts) if (attempt.neverSent) drop(attempt, now) }
     }
 
+    /**
+     * While this shard is handed to another owner: nothing new is placed or ordered. What is logged is still launched, so
+     * that the next owner finds no gang half started.
+     */
+    var startsPaused = false
+
     private val recordBytes = minOf(settings.state.valueBytes - RECORD_SLACK, WriteBatch.LARGEST_RECORD)
 
     /** Tasks that one machine is to get. */
@@ -1270,7 +1307,7 @@
         job.logSteps.add(placement.step)
         job.logParts[placement.step] = placement.parts.size
         if (!job.isOpen) {
-            gcQueue.addLast((now + tunables.logLife) to Keys.log(job.ref, placement.step))
+            gcQueue.addLast((now + tunables.logLife) to job.keys.log(job.ref, placement.step))
             for (key in placement.writtenKeys()) gcQueue.addLast((now + tunables.logLife) to key)
         }
         placementLogged(job, placement.step, placement.attempts)
@@ -1293,8 +1330,14 @@
         for (key in fleet.recordsToDrop(now)) {
             if (batch.isFull()) break
             batch.remove(key)
+            if (fleet.wasRefused(key)) claims?.refused(batch, key)
             batch.onApplied { fleet.recordDropped(key) }
         }
+        for (key in claims?.toRemove(now) ?: emptyList()) {
+            if (batch.isFull()) break
+            batch.remove(key)
+            batch.onApplied { claims?.removed(key) }
+        }
         while (closed.isNotEmpty() && now - (closed.first().finalAt ?: now) > tunables.logLife &&
             closed.first().live.isEmpty()
         ) {
@@ -1302,6 +1345,9 @@
         }
     }
 
+    /** A change is under way whose outcome is not known. */
+    val isWriting: Boolean get() = batch != null
+
     fun onWritten(
         revision: Revision,
         now: Instant,
@@ -1321,7 +1367,7 @@
     ): Boolean {
         val written = batch ?: return true
         batch = null
-        if (Keys.TERM in failed) return false
+        if (scope.guards.any { it.key in failed }) return false
         written.refused(failed)
         return true
     }
@@ -1362,6 +1408,53 @@
         return order
     }
 
+    /** Starts whose outcome a successor would have to find out. */
+    fun unsettled(): Unsettled {
+        workCounter.look(jobs.size)
+        var tasks = 0
+        var partialGangs = 0
+        for (job in jobs.values) {
+            val unseen = job.live.values.count { it.killGraceS == null && (it.neverSent || it.phase == AttemptPhase.SENT) }
+            tasks += unseen
+            if (job.isGang && unseen in 1 until job.spec.tasks) partialGangs++
+        }
+        return Unsettled(tasks, partialGangs)
+    }
+
+    /** Jobs of shards are open, or tasks of theirs may be on machines; only a single leader after a time of sharing has such. */
+    fun hasShardJobs(): Boolean = jobs.values.any { it.shard != null } || closed.any { it.shard != null && it.live.isNotEmpty() }
+
+    fun knows(machine: MachineId): Boolean = machine in machines
+
+    /** Machines and tasks that make work for this scheduler. */
+    fun load(): Int = machines.values.sumOf { if (it.up) 1 + it.attempts.size else 0 }
+
+    /** This scheduler's part of a team's limit and guarantee. */
+    fun allot(part: Team) = quota.allot(part)
+
+    /** What each team uses here, and would use if its limit allowed. */
+    fun teamDemands(now: Instant): Map<String, TeamDemand> {
+        val waiting = jobs.values.filter { it.isOpen && !it.pending.isEmpty && !it.isSuspect }.groupBy { it.spec.team }
+        return settings.teams.associate { team -> team.name to teamDemand(team.name, waiting[team.name] ?: emptyList(), now) }
+    }
+
+    private fun teamDemand(
+        team: String,
+        waiting: List<Job>,
+        now: Instant,
+    ): TeamDemand {
+        val used = quota.used(team)
+        val wanted = waiting.fold(used) { sum, job -> sum + job.spec.need * job.pending.cardinality() }
+        val starved =
+            waiting
+                .filter { it.isGang && it.live.isEmpty() && ageS(it, now) >= RESERVE_AFTER_S }
+                .minByOrNull { it.submittedAtMs }
+        val reserved = starved?.let { amount(it.spec.unit) } ?: TeamAmount.NONE
+        return TeamDemand(amount(used), amount(wanted), reserved, starved?.submittedAtMs ?: 0)
+    }
+
+    private fun amount(resources: Resources) = TeamAmount(resources.cores, resources.accelerators)
+
     /** Machines whose leases run by our books. */
     fun reportingMachines(): Int = machines.values.count { it.up }
 
@@ -1436,6 +1529,9 @@
          * first moment, one gang of a third of a team's limit held up all the small ones behind it (rose-hill-vision).
          */
         private const val HOLD_LIMIT_AFTER_S = 120.0
+
+        /** A gang that other shards' parts of its team's limit may be holding up asks for its whole need after so long. */
+        private const val RESERVE_AFTER_S = 15.0
         private const val FAULTY_AFTER_JOBS = 2
         private const val FORGET_MS = 60_000L
         private val DONE_LOG_DELAY = Span(2_000)
--- a/src/main/kotlin/dewwing/control/core/Tunables.kt
+++ b/src/main/kotlin/dewwing/control/core/Tunables.kt
@@ -33,4 +33,6 @@
     val tunables: Tunables = Tunables(),
     /** There are other controllers that a worker can turn to. */
     val hasSiblings: Boolean = true,
+    /** Changes that may be made at once after a pause; at least a second's worth. */
+    val writeBurst: Double = 0.0,
 )
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -5,6 +5,7 @@
 import dewwing.control.core.RentOrder
 import dewwing.control.core.WorkCounter
 import dewwing.control.core.intent.Keys
+import dewwing.control.core.intent.RecordKeys
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentRecord
 import dewwing.control.core.job.ClassAims
@@ -34,6 +35,7 @@
     private val aims: ClassAims,
     /** Start of this leader. */
     private val since: Instant,
+    private val keys: RecordKeys = RecordKeys.SINGLE,
 ) {
     private val log = LoggerFactory.getLogger("fleet")
     private val tunables = settings.tunables
@@ -64,6 +66,9 @@
     private val releaseRecords = LinkedHashMap<String, MutableSet<MachineId>>()
     private var nextRelease = 1L
     private val dropRecords = LinkedHashSet<String>()
+
+    /** Records of rentals that came to nothing, until they are dropped. */
+    private val refusedRentals = HashSet<String>()
     private var nextRental = 1L
     private var planAt = Instant.NEVER
 
@@ -128,6 +133,7 @@
             log.info("no capacity for {} {}{} in {}", order.count, order.type, spotLabel(order.spot), order.zone)
             rentals.remove(key)
             dropRecords.add(key)
+            refusedRentals.add(key)
             return
         }
         log.info("rented {} of {} {}{} in {}: {}", rented.size, order.count, order.type, spotLabel(order.spot), order.zone, rented)
@@ -175,7 +181,7 @@
         return wanted
             .sortedByDescending { if (it.spot) it.type?.spotPrice else it.type?.price }
             .chunked(perRecord)
-            .map { part -> Keys.release(term, nextRelease++) to ReleaseRecord(part.map { it.id }) }
+            .map { part -> keys.release(term, nextRelease++) to ReleaseRecord(part.map { it.id }) }
     }
 
     fun rentWrites(): List<Pair<String, RentRecord>> =
@@ -220,8 +226,11 @@
         return dropRecords.toList()
     }
 
+    fun wasRefused(rentKey: String): Boolean = rentKey in refusedRentals
+
     fun recordDropped(key: String) {
         dropRecords.remove(key)
+        refusedRentals.remove(key)
         rentals.remove(key)
         releaseRecords.remove(key)
     }
@@ -583,7 +592,7 @@
         }
         val number = nextRental++
         val order = RentOrder(Keys.rentalName(term, number), type.name, zone, spot, count)
-        rentals[Keys.rent(term, number)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now, isOwn = true)
+        rentals[keys.rent(term, number)] = Rental(RentRecord(order, null), RentStage.TO_LOG, now, now, isOwn = true)
         log.info("wanted: {} {}{} in {}", count, type.name, spotLabel(spot), zone)
     }
 
--- a/src/main/kotlin/dewwing/control/core/intent/Records.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/Records.kt
@@ -1,6 +1,7 @@
 package dewwing.control.core.intent
 
 import dewwing.control.core.RentOrder
+import dewwing.control.core.sharing.ShardId
 import dewwing.protocol.Fields
 import dewwing.protocol.JobRef
 import dewwing.protocol.JobSpec
@@ -21,74 +22,126 @@
 
     /** The last term whose leader had read its picture. */
     const val READY = "term/ready"
+
+    /** Shards have had owners of their own at some time. */
+    const val SHARED = "term/shared"
     const val JOBS = "job/"
     const val LOGS = "log/"
     const val RENTS = "rent/"
     const val RELEASES = "release/"
 
-    /** See [fence]. */
+    /** See [RecordKeys.fence]. */
     const val FENCES = "fence/"
 
     /** The cloud's machine types as last seen, so that intake needs no cloud. */
     const val TYPES = "cloud/types"
 
-    private const val STEP_DIGITS = 9
+    private const val NUMBER_DIGITS = 9
 
     fun job(ref: JobRef): String = JOBS + ref.value
 
     fun jobOf(key: String): JobRef? = JobRef.parse(key.removePrefix(JOBS))
 
+    /** The name under which the cloud is asked for a rental: no other request of any term may ever have it. */
+    fun rentalName(
+        term: Term,
+        number: Long,
+    ): String = "r-${term.value}-$number"
+
+    /** Numbers in keys sort as they count. */
+    fun digits(n: Long) = n.toString().padStart(NUMBER_DIGITS, '0')
+}
+
+/** What a record under a scheduler's part of the key space is about. */
+enum class RecordKind(
+    val prefix: String,
+) {
+    LOG(Keys.LOGS),
+    RENT(Keys.RENTS),
+    RELEASE(Keys.RELEASES),
+    FENCE(Keys.FENCES),
+}
+
+/**
+ * Where the records of one scheduler are: those of a shard lie under a prefix of its own, those of the single leader
+ * under none.
+ */
+data class RecordKeys(
+    val shard: ShardId?,
+) {
+    private val base = if (shard == null) "" else prefixOf(shard)
+
+    /** Everything a new scheduler of this part reads but for the jobs, as prefixes. */
+    val prefixes: List<String> get() = if (shard == null) RecordKind.entries.map { it.prefix } else listOf(base)
+
     fun log(
         ref: JobRef,
         step: Step,
-    ): String = "$LOGS${ref.value}/${digits(step.value)}"
+    ): String = "$base${Keys.LOGS}${ref.value}/${Keys.digits(step.value)}"
+
+    /** One part of a placement that is too large for one record; sorts between its own step's record and the next step's. */
+    fun logPart(
+        ref: JobRef,
+        step: Step,
+        part: Int,
+    ): String = "${log(ref, step)}/${Keys.digits(part.toLong())}"
 
     fun rent(
         term: Term,
         number: Long,
-    ): String = "$RENTS${digits(term.value)}/${digits(number)}"
+    ): String = numbered(Keys.RENTS, term, number)
 
     fun release(
         term: Term,
         number: Long,
-    ): String = "$RELEASES${digits(term.value)}/${digits(number)}"
+    ): String = numbered(Keys.RELEASES, term, number)
 
-    /** The name under which the cloud is asked for a rental: no other request of any term may ever have it. */
-    fun rentalName(
+    /** Exists once the leader's changes up to a point are certain: every change is conditional on the next one's absence. */
+    fun fence(
         term: Term,
         number: Long,
-    ): String = "r-${term.value}-$number"
+    ): String = numbered(Keys.FENCES, term, number)
 
-    /** Exists once the leader's changes up to a point are certain: every change is conditional on the next one's absence. */
-    fun fence(
+    private fun numbered(
+        prefix: String,
         term: Term,
         number: Long,
-    ): String = "$FENCES${digits(term.value)}/${digits(number)}"
+    ) = "$base$prefix${Keys.digits(term.value)}/${Keys.digits(number)}"
 
-    fun termOfFence(key: String): Term? =
-        key
-            .removePrefix(FENCES)
-            .substringBefore('/')
-            .toLongOrNull()
-            ?.let(::Term)
+    companion object {
+        /** Those of the single leader. */
+        val SINGLE = RecordKeys(null)
 
-    /** One part of a placement that is too large for one record; sorts between its own step's record and the next step's. */
-    fun logPart(
-        ref: JobRef,
-        step: Step,
-        part: Int,
-    ): String = "${log(ref, step)}/${digits(part.toLong())}"
-
-    fun logOf(key: String): LogKey? {
-        val parts = key.removePrefix(LOGS).split('/')
-        if (parts.size !in 2..3) return null
-        val ref = JobRef.parse(parts[0]) ?: return null
-        val step = Step(parts[1].toLongOrNull() ?: return null)
-        val part = parts.getOrNull(2)?.let { it.toIntOrNull() ?: return null }
-        return LogKey(ref, step, part)
-    }
+        /** All records of all shards. */
+        const val SHARDS = "shard/"
+        private const val SHARD_DIGITS = 3
+
+        private fun prefixOf(shard: ShardId) = "$SHARDS${shard.index.toString().padStart(SHARD_DIGITS, '0')}/"
 
-    private fun digits(n: Long) = n.toString().padStart(STEP_DIGITS, '0')
+        fun kindOf(key: String): RecordKind? {
+            val own = withoutShard(key)
+            return RecordKind.entries.firstOrNull { own.startsWith(it.prefix) }
+        }
+
+        fun logOf(key: String): LogKey? {
+            val parts = withoutShard(key).removePrefix(Keys.LOGS).split('/')
+            if (parts.size !in 2..3) return null
+            val ref = JobRef.parse(parts[0]) ?: return null
+            val step = Step(parts[1].toLongOrNull() ?: return null)
+            val part = parts.getOrNull(2)?.let { it.toIntOrNull() ?: return null }
+            return LogKey(ref, step, part)
+        }
+
+        fun termOfFence(key: String): Term? =
+            withoutShard(key)
+                .removePrefix(Keys.FENCES)
+                .substringBefore('/')
+                .toLongOrNull()
+                ?.let(::Term)
+
+        private fun withoutShard(key: String): String =
+            if (key.startsWith(SHARDS)) key.substring(SHARDS.length).substringAfter('/') else key
+    }
 }
 
 /** What the key of a log record says: the job, its step, and which [part] of the step's placement, if it is one. */
@@ -106,6 +159,8 @@
     val stage: JobStage,
     val spec: JobSpec?,
     val submittedAtMs: Long,
+    /** The shard that places it; null if it was accepted under a single leader. Never changes. */
+    val shard: ShardId? = null,
 ) {
     val isFinal: Boolean get() = stage == JobStage.DONE || stage == JobStage.ABORTED
 
@@ -113,6 +168,7 @@
         val value = linkedMapOf<String, Any?>("stage" to Wire.stageWord(stage))
         if (spec != null) value["spec"] = Wire.jobSpecMap(spec)
         value["at"] = submittedAtMs
+        if (shard != null) value["shard"] = shard.index
         return value
     }
 
@@ -123,6 +179,7 @@
                 Wire.stageOf(f.text("stage")) ?: throw MalformedException("stage"),
                 f.mapOrNull("spec")?.let(Wire::jobSpec),
                 f.countOr("at", 0),
+                f.countOrNull("shard")?.let { ShardId(it.toInt()) },
             )
         }
     }
--- a/src/main/kotlin/dewwing/control/core/intent/SplitPlacement.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/SplitPlacement.kt
@@ -37,12 +37,12 @@
         while (written < parts.size && !batch.isFull()) {
             val value = parts[written].toValue()
             if (Pack.jsonSize(value) > batch.bytesLeft) break
-            batch.create(Keys.logPart(job.ref, step, written), value)
+            batch.create(job.keys.logPart(job.ref, step, written), value)
             written++
         }
         if (written == parts.size && !batch.isFull()) {
             batch.require(Keys.job(job.ref), job.revision)
-            batch.create(Keys.log(job.ref, step), LogRecord(emptyList(), BitSet(), parts.size).toValue())
+            batch.create(job.keys.log(job.ref, step), LogRecord(emptyList(), BitSet(), parts.size).toValue())
             isCompleted = true
         }
         batch.onRefused {
@@ -52,7 +52,7 @@
     }
 
     /** The keys written so far, for whoever clears them away. */
-    fun writtenKeys(): List<String> = (0 until written).map { Keys.logPart(job.ref, step, it) }
+    fun writtenKeys(): List<String> = (0 until written).map { job.keys.logPart(job.ref, step, it) }
 }
 
 /** Puts the parts of placements together again as they are read in the order of their keys. */
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -1,6 +1,8 @@
 package dewwing.control.core.job
 
 import dewwing.control.core.fleet.Machine
+import dewwing.control.core.intent.RecordKeys
+import dewwing.control.core.sharing.ShardId
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
 import dewwing.protocol.JobShape
@@ -65,8 +67,13 @@
     val spec: JobSpec,
     var revision: Revision,
     val submittedAtMs: Long,
+    /** The shard that it was accepted for; null under a single leader. */
+    val shard: ShardId? = null,
 ) {
     val ref: JobRef get() = spec.ref
+
+    /** Where its log records are. */
+    val keys = RecordKeys(shard)
     val isGang: Boolean get() = spec.shape == JobShape.GANG
 
     /** Set once the state service says so; never unset. */
--- a/src/main/kotlin/dewwing/control/core/quota/Quota.kt
+++ b/src/main/kotlin/dewwing/control/core/quota/Quota.kt
@@ -11,7 +11,7 @@
 class Quota(
     teams: List<Team>,
 ) {
-    private val teams = teams.associateBy { it.name }
+    private val teams = teams.associateByTo(HashMap()) { it.name }
     private val used = HashMap<String, Resources>()
 
     fun knows(team: String): Boolean = team in teams
@@ -22,6 +22,14 @@
         return fits(team, spec.unit)
     }
 
+    /**
+     * Bounds what this scheduler may use and count as guaranteed to its part of a team's limit; another part may be with
+     * others. Amounts without a limit stay as they are.
+     */
+    fun allot(part: Team) {
+        if (part.name in teams) teams[part.name] = part
+    }
+
     fun used(team: String): Resources = used[team] ?: Resources.NONE
 
     fun add(job: Job) {
--- a/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
+++ b/src/main/kotlin/dewwing/control/peer/PeerMessages.kt
@@ -43,6 +43,23 @@
     val highestTerm: Term,
     val leader: String,
     val incarnation: Incarnation,
+    /** Null from a controller that shares nothing, and from versions that know no shards. */
+    val sharing: SharingStatus? = null,
+)
+
+/** What a controller that may own shards says of them. */
+data class SharingStatus(
+    /** To be emptied: it is about to stop. */
+    val draining: Boolean,
+    /** One entry a shard; empty while a single leader does all the work. */
+    val shards: List<ShardStatus>,
+)
+
+/** [leader] as in [PeerState]; [load] counts machines and tasks, if this controller leads the shard. */
+data class ShardStatus(
+    val highestTerm: Term,
+    val leader: String,
+    val load: Int,
 )
 
 sealed interface PeerAnswer {
@@ -72,13 +89,16 @@
     private const val HEARTBEAT = 1
     private const val COUNTS = 2
     private const val RELAY = 3
+
+    /** A heartbeat with a [SharingStatus]; versions that know no shards close the connection. */
+    private const val SHARING_HEARTBEAT = 4
     private const val NONE = -1L
 
     fun encode(request: PeerRequest): Buffer {
         val b = Buffer()
         when (request) {
             is PeerRequest.Heartbeat -> {
-                b.writeByte(HEARTBEAT)
+                b.writeByte(tagOf(request.heartbeat))
                 b.text(request.from)
                 b.heartbeat(request.heartbeat)
                 b.writeLong(request.jobsKnown?.value ?: NONE)
@@ -103,7 +123,7 @@
         val b = Buffer()
         when (answer) {
             is PeerAnswer.Heartbeat -> {
-                b.writeByte(HEARTBEAT)
+                b.writeByte(tagOf(answer.heartbeat))
                 b.heartbeat(answer.heartbeat)
                 b.cancellations(answer.cancellations)
             }
@@ -128,7 +148,8 @@
     fun decodeRequest(b: Buffer): PeerRequest =
         checked(b) {
             when (val tag = b.readByte().toInt()) {
-                HEARTBEAT -> PeerRequest.Heartbeat(b.text(), b.heartbeat(), b.readLong().takeIf { it >= 0 }?.let(::Revision))
+                HEARTBEAT -> PeerRequest.Heartbeat(b.text(), b.heartbeat(false), b.revisionOrNull())
+                SHARING_HEARTBEAT -> PeerRequest.Heartbeat(b.text(), b.heartbeat(true), b.revisionOrNull())
                 COUNTS -> PeerRequest.Counts(b.text())
                 RELAY -> PeerRequest.Relay(b.text(), b.text(), b.bytes())
                 else -> throw IOException("unknown peer request $tag")
@@ -138,7 +159,8 @@
     fun decodeAnswer(b: Buffer): PeerAnswer =
         checked(b) {
             when (val tag = b.readByte().toInt()) {
-                HEARTBEAT -> PeerAnswer.Heartbeat(b.heartbeat(), b.cancellations())
+                HEARTBEAT -> PeerAnswer.Heartbeat(b.heartbeat(false), b.cancellations())
+                SHARING_HEARTBEAT -> PeerAnswer.Heartbeat(b.heartbeat(true), b.cancellations())
                 COUNTS -> PeerAnswer.Counts(b.readByte().toInt() != 0, b.readInt(), b.readInt())
                 RELAY -> PeerAnswer.Relay(b.readInt(), b.readInt(), b.bytes())
                 else -> throw IOException("unknown peer answer $tag")
@@ -163,9 +185,38 @@
         writeLong(w.highestTerm.value)
         text(w.leader)
         writeLong(w.incarnation.value)
+        w.sharing?.let { sharing(it) }
+    }
+
+    private fun tagOf(heartbeat: PeerState) = if (heartbeat.sharing == null) HEARTBEAT else SHARING_HEARTBEAT
+
+    private fun Buffer.heartbeat(withSharing: Boolean) =
+        PeerState(
+            readByte().toInt() != 0,
+            Term(readLong()),
+            text(),
+            Incarnation(readLong()),
+            if (withSharing) sharing() else null,
+        )
+
+    private fun Buffer.sharing(status: SharingStatus) {
+        writeByte(if (status.draining) 1 else 0)
+        writeInt(status.shards.size)
+        for (shard in status.shards) {
+            writeLong(shard.highestTerm.value)
+            text(shard.leader)
+            writeInt(shard.load)
+        }
+    }
+
+    private fun Buffer.sharing(): SharingStatus {
+        val draining = readByte().toInt() != 0
+        val count = readInt()
+        if (count < 0 || count > size) throw IOException("bad count in a peer message")
+        return SharingStatus(draining, List(count) { ShardStatus(Term(readLong()), text(), readInt()) })
     }
 
-    private fun Buffer.heartbeat() = PeerState(readByte().toInt() != 0, Term(readLong()), text(), Incarnation(readLong()))
+    private fun Buffer.revisionOrNull(): Revision? = readLong().takeIf { it >= 0 }?.let(::Revision)
 
     private fun Buffer.cancellations(list: List<Cancellation>?) {
         writeInt(list?.size ?: NONE.toInt())
--- /dev/null
+++ b/src/main/kotlin/dewwing/control/sharing/ClaimWatch.kt
@@ -0,0 +1,74 @@
+package dewwing.control.sharing
+
+import dewwing.control.core.sharing.MachineClaim
+import dewwing.control.core.sharing.MachineDirectory
+import dewwing.control.core.sharing.SharingKeys
+import dewwing.control.state.FollowResult
+import dewwing.control.state.StateClient
+import dewwing.protocol.Fields
+import dewwing.protocol.Instant
+import dewwing.protocol.MalformedException
+import dewwing.protocol.Revision
+import dewwing.protocol.Span
+import dewwing.protocol.Wire
+import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
+import java.io.IOException
+
+/** Keeps a [MachineDirectory] up with the claims in the state service. */
+class ClaimWatch(
+    private val state: StateClient,
+    private val directory: MachineDirectory,
+    private val clock: () -> Instant,
+) {
+    private val log = LoggerFactory.getLogger("claims")
+
+    /** Until cancelled. */
+    suspend fun run() {
+        var since: Revision? = null
+        while (true) {
+            try {
+                val asked = clock()
+                since = if (since == null) readAll() else follow(since)
+                if (since != null) directory.readUpTo(asked)
+            } catch (e: IOException) {
+                log.debug("following claims: {}", e.message)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    private suspend fun readAll(): Revision {
+        val entries = ArrayList<Wire.Entry>()
+        val revision = state.list(SharingKeys.CLAIMS) { entries.addAll(it) }
+        directory.clear()
+        entries.forEach(::onEntry)
+        return revision
+    }
+
+    /** Null when the changes since then are not to be had any more. */
+    private suspend fun follow(since: Revision): Revision? =
+        when (val result = state.follow(SharingKeys.CLAIMS, since, QUIET)) {
+            is FollowResult.Changes -> {
+                result.entries.forEach(::onEntry)
+                result.revision
+            }
+
+            FollowResult.TooOld -> {
+                null
+            }
+        }
+
+    private fun onEntry(entry: Wire.Entry) {
+        try {
+            directory.onClaim(entry.key, entry.value?.let(MachineClaim::of))
+        } catch (e: MalformedException) {
+            log.error("claim {} cannot be read: {}", entry.key, e.message)
+        }
+    }
+
+    private companion object {
+        val QUIET = Span(2_000)
+        const val RETRY_MS = 250L
+    }
+}
--- a/src/main/kotlin/dewwing/protocol/Pack.kt
+++ b/src/main/kotlin/dewwing/protocol/Pack.kt
@@ -187,6 +187,8 @@
         return value
     }
 
+    fun countOrNull(name: String): Long? = if (map[name] == null) null else count(name)
+
     fun countOr(
         name: String,
         default: Long,
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -5,6 +5,7 @@
 import dewwing.control.core.TokenBucket
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.quota.Quota
+import dewwing.control.core.sharing.ShardId
 import dewwing.control.http.HttpAnswer
 import dewwing.control.http.HttpClient
 import dewwing.control.http.HttpRequest
@@ -58,7 +59,14 @@
             confirmedCancellations.add(job to revision)
         }
 
-        override suspend fun counts(ref: JobRef): JobCounts? = null
+        override suspend fun counts(
+            ref: JobRef,
+            shard: ShardId?,
+        ): JobCounts? = null
+
+        var destination = JobDestination(null)
+
+        override fun destinationOf(ref: JobRef) = destination
 
         /** Time that the test lets pass at once. */
         var skippedMs = 0L
--- a/src/test/kotlin/dewwing/control/core/SplitPlacementTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SplitPlacementTest.kt
@@ -3,6 +3,7 @@
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
+import dewwing.control.core.intent.RecordKeys
 import dewwing.protocol.Command
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
@@ -112,7 +113,7 @@
 
     private fun logKeys() = store.keys.filter { it.startsWith(Keys.LOGS) }
 
-    private fun stepRecords() = logKeys().filter { Keys.logOf(it)?.part == null }
+    private fun stepRecords() = logKeys().filter { RecordKeys.logOf(it)?.part == null }
 
     @Test
     fun `a gang of 1,500 machines is placed whole where a record holds 140`() {
@@ -206,7 +207,7 @@
         first.reports()
         first.submit(gang)
         while (stepRecords().isEmpty()) first.pass()
-        store.remove(Keys.logPart(JobRef("job-1"), dewwing.protocol.Step(1), 3))
+        store.remove(RecordKeys.SINGLE.logPart(JobRef("job-1"), dewwing.protocol.Step(1), 3))
         val second = Leader(6).restore()
         assertEquals(0, second.scheduler.counts(gang.ref)?.running)
         second.reports()
--- a/src/test/kotlin/dewwing/protocol/FormatsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/FormatsTest.kt
@@ -5,13 +5,18 @@
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
 import dewwing.control.core.intent.Ranges
+import dewwing.control.core.intent.RecordKeys
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.leadership.Cancellation
 import dewwing.control.core.leadership.ConfirmedCancellations
+import dewwing.control.core.sharing.ShardId
 import dewwing.control.peer.PeerAnswer
 import dewwing.control.peer.PeerCodec
 import dewwing.control.peer.PeerRequest
 import dewwing.control.peer.PeerState
+import dewwing.control.peer.ShardStatus
+import dewwing.control.peer.SharingStatus
+import dewwing.protocol.JobStage
 import okio.Buffer
 import org.junit.jupiter.api.Assertions.assertArrayEquals
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -220,12 +225,46 @@
         assertEquals(all, (PeerCodec.decodeAnswer(frame) as PeerAnswer.Heartbeat).cancellations)
     }
 
+    /** Guards a fleet in which some controllers know no shards: those must still understand a plain heartbeat. */
+    @Test
+    fun `heartbeats with and without shards survive their frames, and a plain one is the frame of earlier versions`() {
+        val plain = PeerState(true, Term(3), "perch-1", Incarnation(9))
+        val shards = List(100) { ShardStatus(Term(it.toLong()), if (it % 2 == 0) "perch-$it" else "", it * 7) }
+        for (state in listOf(
+            plain,
+            plain.copy(sharing = SharingStatus(true, shards)),
+            plain.copy(sharing = SharingStatus(false, emptyList())),
+        )) {
+            val request = PeerRequest.Heartbeat("a", state, Revision(5))
+            assertEquals(request, PeerCodec.decodeRequest(PeerCodec.encode(request)))
+            val answer = PeerAnswer.Heartbeat(state, null)
+            assertEquals(answer, PeerCodec.decodeAnswer(PeerCodec.encode(answer)))
+        }
+        assertEquals(
+            "010000000161010000000000000003000000",
+            PeerCodec
+                .encode(PeerRequest.Heartbeat("a", plain, null))
+                .readByteString()
+                .hex()
+                .take(36),
+        )
+    }
+
+    @Test
+    fun `a job's shard survives its record, also when the job is over`() {
+        for (shard in listOf(null, ShardId(0), ShardId(99))) {
+            val record = JobRecord(JobStage.DONE, null, 7, shard)
+            @Suppress("UNCHECKED_CAST") // What was encoded from text keys.
+            assertEquals(record, JobRecord.of(Pack.decode(Pack.encode(record.toValue())) as Map<String, Any?>))
+        }
+    }
+
     /** Guards names that ran into the next term's after 100,000 rentals: the cloud would answer an old order's machines. */
     @Test
     fun `rentals and releases of all terms have names of their own, however many there are`() {
         val numbers = listOf(1L, 99_999L, 100_000L, 100_001L, 1_000_000L)
         val names = (1L..20L).flatMap { term -> numbers.map { Term(term) to it } }
-        for (name in listOf(Keys::rent, Keys::release, Keys::rentalName)) {
+        for (name in listOf(RecordKeys.SINGLE::rent, RecordKeys.SINGLE::release, Keys::rentalName)) {
             assertEquals(names.size, names.map { (term, number) -> name(term, number) }.toSet().size)
         }
     }
