--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -37,12 +37,14 @@
 import dewwing.control.peer.PeerState
 import dewwing.control.peer.SharingStatus
 import dewwing.control.sharing.MoveTracing
+import dewwing.control.sharing.ReportRoute
 import dewwing.control.sharing.ShardedControl
 import dewwing.control.sharing.SharingHost
 import dewwing.control.sharing.SharingOptions
 import dewwing.control.sharing.SharingPeer
 import dewwing.control.sharing.SharingSwitch
 import dewwing.control.state.StateClient
+import dewwing.control.state.StateUnavailableException
 import dewwing.control.worker.WorkerClient
 import dewwing.protocol.Fields
 import dewwing.protocol.Incarnation
@@ -66,6 +68,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import java.io.IOException
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 /**
@@ -178,6 +182,7 @@
             launch { PeerServer(selector, settings.peerListen, ::answerPeer).run() }
             for ((name, client) in peers) launch { exchangeHeartbeats(name, client) }
             launch { learnTypes() }
+            if (sharing != null) launch { watchDraining() }
             electForEver()
         }
 
@@ -233,12 +238,14 @@
             } catch (e: MalformedException) {
                 return HttpAnswer.error(400, e.message ?: "malformed")
             }
-        // Nobody can tell yet whose machine it is: the worker asks again.
-        val control = sharded
+        val control = sharded ?: return report(report, single)
         val election =
-            (if (control == null) single else control.electionOf(report.machine)) ?: return HttpAnswer.of(421, Wire.redirect(null))
+            when (val route = control.routeOf(report.machine)) {
+                is ReportRoute.Owner -> route.election
+                is ReportRoute.Elsewhere -> return HttpAnswer.of(421, Wire.redirect(route.name))
+            }
         val answer = report(report, election)
-        if (answer.status == 200) election.shard?.let { control?.reportAnswered(it) }
+        if (answer.status == 200) election.shard?.let(control::reportAnswered)
         return answer
     }
 
@@ -387,8 +394,21 @@
             said?.sharing?.let { SharingPeer(name, said.reachesState, it) }
         }
 
+    @Volatile
     override var isDraining = false
         private set
+    private val drained = CountDownLatch(1)
+
+    /** Lets others take this controller's shards, from any thread; false if some are left after [withinMs]. */
+    fun drain(withinMs: Long): Boolean {
+        isDraining = true
+        return drained.await(withinMs, TimeUnit.MILLISECONDS)
+    }
+
+    private suspend fun watchDraining() {
+        while (!isDraining || leaders.isNotEmpty()) delay(DRAIN_POLL_MS)
+        drained.countDown()
+    }
 
     private fun peersReachingState(): List<String> = peersHeardLately().filter { heartbeats[it]?.state?.reachesState == true }
 
@@ -647,7 +667,12 @@
             try {
                 if (!cleared) sharingSwitch.clear(elected.revision)
                 cleared = true
-                leader.suspendDecisions()
+            } catch (e: IOException) {
+                log.debug("an earlier time of sharing is not cleared away: {}", e.message)
+                continue
+            }
+            leader.suspendDecisions()
+            try {
                 if (sharingSwitch.open(
                         elected.term,
                         elected.revision,
@@ -656,10 +681,12 @@
                 ) {
                     leader.handOver("shards get owners of their own")
                 }
-            } catch (e: IOException) {
+            } catch (e: StateUnavailableException) {
                 log.debug("sharing not switched on: {}", e.message)
+                // It may have been, or may be later: then owners of shards would be elected while this term goes on. With
+                // the lease given back the change can't be carried out any more, and the next reading tells.
+                if (!e.certainlyNot) leader.handOver("sharing may have been switched on")
             }
-            // Not switched on for certain: whether it was shows in the term's key, on which every change depends.
             leader.resumeDecisions()
         }
     }
@@ -703,6 +730,7 @@
         private const val TERM_READ_MS = 1_000L
         private const val ELECTION_POLL_MS = 400L
         private const val OPEN_POLL_MS = 500L
+        private const val DRAIN_POLL_MS = 100L
         private const val FIRST_MS = 5_000L
         private const val IDLE_MS = 60_000L
         private const val REQUEST_MS = 10_000L
--- a/src/main/kotlin/dewwing/control/app/Main.kt
+++ b/src/main/kotlin/dewwing/control/app/Main.kt
@@ -180,7 +180,10 @@
 
 private const val BAD_SETTINGS = 2
 
-const val VERSION = "0.6.0"
+/** A controller that is told to stop (SIGTERM) hands its shards over for so long before it does. */
+private const val DRAIN_MS = 20_000L
+
+const val VERSION = "0.7.0"
 
 /** Runs a controller until the process is killed: one thread for everything, one for the socket selector. */
 private fun serve(
@@ -195,7 +198,9 @@
     val metrics = Metrics()
     runBlocking {
         val tracing = if (sharing != null && traceMoves) LogSpanExporter.tracing() else null
-        Controller(settings, tunables, options, selector, metrics, sharing, tracing).run()
+        val controller = Controller(settings, tunables, options, selector, metrics, sharing, tracing)
+        if (sharing != null) Runtime.getRuntime().addShutdownHook(Thread { controller.drain(DRAIN_MS) })
+        controller.run()
     }
 }
 
--- a/src/main/kotlin/dewwing/control/sharing/ShardedControl.kt
+++ b/src/main/kotlin/dewwing/control/sharing/ShardedControl.kt
@@ -49,6 +49,22 @@
     val isSharing: Boolean get() = status.shards.isNotEmpty()
 }
 
+/** Who answers a machine's reports. */
+sealed interface ReportRoute {
+    /** Whoever leads here. */
+    class Owner(
+        val election: LeaderElection,
+    ) : ReportRoute
+
+    /**
+     * It is not known yet whose machine it is: perhaps [name] can tell. Its token says nothing about anybody's shard
+     * then: taken for one of the first shard's, it would depose that shard's owner.
+     */
+    class Elsewhere(
+        val name: String?,
+    ) : ReportRoute
+}
+
 /** What [ShardedControl] needs of the controller round it. */
 interface SharingHost {
     fun now(): Instant
@@ -107,19 +123,14 @@
 
     fun electionOf(shard: ShardId): LeaderElection = elections[if (shard.index < elections.size) shard.index else 0]
 
-    /** Where the reports of [machine] belong; null while nobody can tell. */
-    fun electionOf(machine: MachineId): LeaderElection? =
-        when (val home = directory.locate(machine, host.now())) {
-            is MachineHome.Known -> {
-                electionOf(home.shard)
-            }
-
-            MachineHome.Undecided -> {
-                // Whoever has it in its records or rented it need not wait for what other rentals bring.
-                elections.firstOrNull { it.leading?.scheduler?.knows(machine) == true }
-                    ?: elections.first().takeIf { it.leading == null }
-            }
-        }
+    /** Where the reports of [machine] belong. */
+    fun routeOf(machine: MachineId): ReportRoute {
+        val home = directory.locate(machine, host.now())
+        if (home is MachineHome.Known) return ReportRoute.Owner(electionOf(home.shard))
+        // Whoever has it in its records or rented it need not wait for what other rentals bring.
+        val knowing = elections.firstOrNull { it.leading?.scheduler?.knows(machine) == true }
+        return if (knowing != null) ReportRoute.Owner(knowing) else ReportRoute.Elsewhere(elections.first().otherLeader())
+    }
 
     /** For the heartbeats. */
     fun status(): SharingStatus =
--- a/src/test/kotlin/dewwing/cluster/LoopbackCluster.kt
+++ b/src/test/kotlin/dewwing/cluster/LoopbackCluster.kt
@@ -58,6 +58,7 @@
         val metrics: Metrics = Metrics(),
     ) {
         var run: Job? = null
+        var controller: Controller? = null
         var selector: ActorSelectorManager? = null
     }
 
@@ -133,6 +134,7 @@
                 sharing(node),
                 tracing,
             )
+        n.controller = controller
         n.run = scope.launch(n.thread) { controller.run() }
     }
 
@@ -143,6 +145,9 @@
         nodes[node].run = null
     }
 
+    /** Asks it to hand its shards over before it is stopped; false if some are left. */
+    suspend fun drain(node: Int): Boolean = withContext(Dispatchers.IO) { nodes[node].controller?.drain(PATIENCE_MS) == true }
+
     /** Its process stops for [ms] and then goes on, unaware of it. */
     fun freeze(
         node: Int,
--- a/src/test/kotlin/dewwing/cluster/SharingClusterTest.kt
+++ b/src/test/kotlin/dewwing/cluster/SharingClusterTest.kt
@@ -154,6 +154,24 @@
             for (node in 0 until CONTROLLERS) until("node $node tells that it is cancelled") { stageOf(job, node) == "aborted" }
         }
 
+    @Test
+    fun `a controller that is drained hands all its shards over and stops no task`(): Unit =
+        runBlocking {
+            cluster(SharingOptions(SHARDS)).use { cluster ->
+                cluster.start()
+                cluster.shared()
+                val jobs = List(5) { cluster.gang(4, 8.0, cores = 1.0) }
+                jobs.forEachIndexed { i, job -> cluster.submit(job, i) }
+                cluster.until("all tasks run") { cluster.inWorld { cluster.ledger.running == jobs.sumOf { it.tasks } } }
+                assertTrue(cluster.drain(0), "shards are left")
+                cluster.kill(0)
+                assertTrue("node-0" !in cluster.owners())
+                cluster.until("all jobs are done") { jobs.withIndex().all { (i, job) -> cluster.stageOf(job, 1 + i % 2) == "done" } }
+                cluster.assertSound()
+                cluster.inWorld { assertEquals(0, cluster.ledger.stopped, "tasks stopped") }
+            }
+        }
+
     @Test
     fun `a machine that nobody rented is used or given back by the first shard`(): Unit =
         runBlocking {
@@ -183,6 +201,7 @@
                 work()
                 assertEquals(emptyList<String?>(), cluster.owners(), "shares although one controller does not")
 
+                cluster.inWorld { cluster.state.lostAnswers = 0.1 }
                 shares = setOf(0, 1, 2)
                 val running = cluster.gang(6, 20.0)
                 cluster.submit(running)
@@ -190,6 +209,7 @@
                 cluster.kill(2)
                 cluster.start(2)
                 cluster.shared()
+                cluster.inWorld { cluster.state.lostAnswers = 0.0 }
                 work()
 
                 shares = emptySet()
