--- a/src/main/kotlin/dewwing/control/sharing/LogSpanExporter.kt
+++ b/src/main/kotlin/dewwing/control/sharing/LogSpanExporter.kt
@@ -13,21 +13,29 @@
     private val log = LoggerFactory.getLogger("trace")
 
     override fun export(spans: Collection<SpanData>): CompletableResultCode {
-        for (span in spans) {
-            val ms = TimeUnit.NANOSECONDS.toMillis(span.endEpochNanos - span.startEpochNanos)
-            log.info(
-                "{} {} ms trace={} parent={} {} {}",
-                span.name,
-                ms,
-                span.traceId,
-                span.parentSpanId,
-                span.attributes.asMap(),
-                span.status.description,
-            )
-        }
+        for (span in spans) log.info("{}", describe(span))
         return CompletableResultCode.ofSuccess()
     }
 
+    private fun describe(span: SpanData): String {
+        val ms = TimeUnit.NANOSECONDS.toMillis(span.endEpochNanos - span.startEpochNanos)
+        val attributes =
+            span.attributes
+                .asMap()
+                .entries
+                .map { (key, value) -> "${key.key}=$value" }
+        val parent = if (span.parentSpanContext.isValid) listOf("parent=${span.parentSpanId}") else emptyList()
+        val failure = listOf(span.status.description).filter { it.isNotEmpty() }.map { "failed=$it" }
+        return (
+            listOf(
+                span.name,
+                "$ms ms",
+                "trace=${span.traceId}",
+                "span=${span.spanId}",
+            ) + parent + attributes + failure
+        ).joinToString(" ")
+    }
+
     override fun flush(): CompletableResultCode = CompletableResultCode.ofSuccess()
 
     override fun shutdown(): CompletableResultCode = CompletableResultCode.ofSuccess()
