--- a/src/test/kotlin/dewwing/cluster/SharingClusterTest.kt
+++ b/src/test/kotlin/dewwing/cluster/SharingClusterTest.kt
@@ -214,7 +214,8 @@
                 shares = setOf(0, 1, 2)
                 val running = cluster.gang(6, 20.0)
                 cluster.submit(running)
-                cluster.until("the gang runs") { cluster.inWorld { cluster.ledger.machinesOf(running.ref).isNotEmpty() } }
+                // Half launched, it would rightly be withdrawn whole by the next leader.
+                cluster.until("the whole gang runs") { cluster.inWorld { cluster.ledger.running == running.tasks } }
                 cluster.kill(2)
                 cluster.start(2)
                 cluster.shared()
