Review: with sharing on, a burst of jobs stops a limited team for good

Cause: a team's limit is divided among shards in fractions that can each be smaller than one task, and arrays have no way out of that.

Change: case 2 under review/; the stand-ins know a path between controllers that can be cut. No source of the project is changed.

--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -54,6 +54,7 @@
     private final Path folder;
     private final List<String> command;
     private final int cloudPort = freePort();
+    private final Map<String, Link> links = new LinkedHashMap<>();
 
     Cluster(Record record, Site site, String deployFile, Path folder) throws Exception {
         this.record = record;
@@ -81,6 +82,9 @@
             nodes.add(node);
             state.serve(node.statePort, node.name);
         }
+        for (Node from : nodes) {
+            for (Node to : nodes) if (from != to) links.put(from.name + ">" + to.name, new Link(to.peerPort));
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
@@ -112,7 +116,8 @@
             if (other == node) continue;
             if (siblings.length() > 0) siblings.append(',');
             siblings.append(
-                "{\"node_name\":\"" + other.name + "\",\"site\":\"" + other.zone + "\",\"endpoint\":\"127.0.0.1:" + other.peerPort + "\"}");
+                "{\"node_name\":\"" + other.name + "\",\"site\":\"" + other.zone + "\",\"endpoint\":\"127.0.0.1:"
+                    + links.get(node.name + ">" + other.name).port + "\"}");
         }
         return "{\"node_name\":\"" + node.name + "\",\"site\":\"" + node.zone + "\",\"serve_on\":\"127.0.0.1:" + node.port
             + "\",\"peer_listen\":\"127.0.0.1:" + node.peerPort + "\",\"siblings\":[" + siblings + "],\"endpoints\":{\"cloud\":\"127.0.0.1:"
@@ -142,6 +147,15 @@
         record.line("%s started, process %d", node.name, node.process.pid());
     }
 
+    /** Cuts the controller off from the state service and the other controllers; workers, users and the cloud still reach it. */
+    void setCut(Node node, boolean on) {
+        record.line("%s: cut from the state service and the other controllers: %s", node.name, on);
+        links.forEach((path, link) -> {
+            if (path.startsWith(node.name + ">") || path.endsWith(">" + node.name)) link.setCut(on);
+        });
+        state.setHeld(node.name, on);
+    }
+
     /** Ends the process without a signal that it could handle. */
     void kill(Node node) {
         record.line("%s killed", node.name);
--- a/review/standins/StateService.java
+++ b/review/standins/StateService.java
@@ -43,6 +43,7 @@
     private final List<Change> log = new ArrayList<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private final Set<String> refused = new HashSet<>();
+    private final Set<String> held = new HashSet<>();
     private final Rate requests;
     private final Rate writes;
     private final int valueBytes;
@@ -91,6 +92,13 @@
         notifyAll();
     }
 
+    /** The network holds what the controller sends and what it is sent, and delivers it when the cut is over. */
+    synchronized void setHeld(String node, boolean on) {
+        if (on) held.add(node);
+        else held.remove(node);
+        notifyAll();
+    }
+
     synchronized Stored get(String key) {
         return store.get(key);
     }
@@ -104,7 +112,7 @@
     }
 
     private boolean down(String node) {
-        return outage || refused.contains(node);
+        return outage || refused.contains(node) || held.contains(node);
     }
 
     private static Web.Answer answer(int status, Map<String, Object> body) {
@@ -113,6 +121,7 @@
 
     private synchronized Web.Answer handle(String node, String method, String path, Map<String, String> query, byte[] body)
         throws InterruptedException {
+        while (held.contains(node)) wait(1000);
         if (down(node)) return answer(503, Map.of("error", "trouble"));
         if (!requests.take(1)) {
             tooManyRequests++;
