--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -25,10 +25,10 @@
 
     private static int run(Cluster cluster, boolean trouble, long endMs) throws Exception {
         Cloud.Machine taken = cluster.cloud.addUp("flamboyant-gpu", ZONE, true);
-        cluster.cloud.addUp("flamboyant-gpu", ZONE, true);
+        Cloud.Machine kept = cluster.cloud.addUp("flamboyant-gpu", ZONE, true);
         cluster.startAll();
-        if (!cluster.awaitUp(20_000) || !Cluster.await(10_000, () -> cluster.leader() != null)) return 2;
-        Thread.sleep(3_000);
+        if (!Cluster.await(30_000, () -> cluster.leader() != null)) return 2;
+        Thread.sleep(1_000);
         Map<String, Object> job =
             Cluster.job(JOB, "clip-embed", "vision-research", "group", "standard", 4, 43.0, 4.0, 230.0, "img-07", 0.6, 30.0);
         job.put("together", true);
@@ -37,6 +37,10 @@
         job.put("settleS", 4.0);
         if (!cluster.submit(job, 0)) return 2;
         if (!Cluster.await(15_000, () -> cluster.tracker.startsOf(JOB).size() == 4)) return 2;
+        for (Tracker.Start start : cluster.tracker.startsOf(JOB)) {
+            // The leader has returned the machines for being idle: the controllers started too slowly here.
+            if (!start.machine().equals(taken.name) && !start.machine().equals(kept.name)) return 2;
+        }
         if (trouble) {
             Thread.sleep(3_000);
             cluster.cloud.take(taken);
--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -64,9 +64,11 @@
             Thread.sleep(20);
         }
         int never = 0;
+        boolean broken = false;
         for (Submitted job : jobs) {
             if (cluster.tracker.startsOf(job.ref()).isEmpty()) {
                 never++;
+                broken |= Record.now() - job.at() > 90_000;
                 cluster.record.line("%s was accepted %.0f s ago and no task of it was ever started", job.ref(), (Record.now() - job.at()) / 1000.0);
             }
         }
@@ -75,6 +77,6 @@
             "%d of %d jobs never ran; %.0f s after the last one %s uses %.0f of %.0f cores, nothing since %.0f s; the cloud refused %d rentals; all controllers alive: %s",
             never, jobs.size(), waited, TEAM, cluster.tracker.cores(TEAM), LIMIT, (Record.now() - usedAt) / 1000.0, cluster.cloud.refusals(), cluster.allAlive());
         if (!cluster.allAlive() || cluster.cloud.refusals() > 0) return 2;
-        return never > 0 && Record.now() - usedAt > 30_000 ? 1 : 2;
+        return broken && Record.now() - usedAt > 30_000 ? 1 : 2;
     }
 }
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -1,5 +1,6 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.BindException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -55,7 +56,8 @@
         this.times = times;
         random = new Random(machine.name.hashCode());
         node = random.nextInt(cluster.nodes.size());
-        server = Web.serve(machine.port, (method, path, query, body) -> direct(path, body));
+        server = serve();
+        machine.port = server.getAddress().getPort();
         Thread ticks = new Thread(this::tick);
         ticks.setDaemon(true);
         ticks.start();
@@ -64,6 +66,16 @@
         reports.start();
     }
 
+    private HttpServer serve() throws IOException {
+        Web.Handler handler = (method, path, query, body) -> direct(path, body);
+        try {
+            return Web.serve(machine.port, handler);
+        } catch (BindException e) {
+            // The port was free when the machine was rented.
+            return Web.serve(0, handler);
+        }
+    }
+
     /** The machine is gone, with everything on it. */
     synchronized void stop() {
         stopped = true;
@@ -73,6 +85,12 @@
     }
 
     private long idleSince = Record.now();
+    private int answers;
+
+    /** Number of reports whose answers were accepted. */
+    synchronized int answers() {
+        return answers;
+    }
 
     /** Since when no task has been on the machine. */
     synchronized long idleSince() {
@@ -348,6 +366,7 @@
             }
         }
         leaseFrom = sentAt;
+        answers++;
         execute(answer.get("calls"), String.format("answer to the report sent at %.3f, token %s", sentAt / 1000.0, token), sentAt);
     }
 }
