The plan of machines and the placement obey the same constraints

Cause: the plan of machines had its own code for a job's constraints. It added up free capacity over all zones and ordered the rest in the cheapest one, while the placement keeps `together` and `apart`; so it took the demand for covered. The same kept a gang with `apart` from ever starting on rented machines, split a gang with `together` when the first zone had too few machines, and kept an array with `together` on the machines it had.

Fix: PlacementConstraints (type, zone, spot, avoided machines) and ZoneLimits (together, apart, possible tasks counted) are the only code for these, called by both. For a job bound to one zone the plan chooses the zone. What the plan does with demand and what it knows of markets are now classes of their own (DemandCoverage, RentalMarkets), out of Fleet.

--- a/src/main/kotlin/dewwing/control/api/UserApi.kt
+++ b/src/main/kotlin/dewwing/control/api/UserApi.kt
@@ -7,7 +7,7 @@
 import dewwing.control.core.StateChange
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
-import dewwing.control.core.placement.Placer
+import dewwing.control.core.placement.PlacementConstraints
 import dewwing.control.core.quota.Quota
 import dewwing.control.core.sharing.ShardId
 import dewwing.control.http.HttpRequest
@@ -244,7 +244,7 @@
     private fun canHost(
         spec: JobSpec,
         type: MachineType,
-    ): Boolean = Placer.typeAllowed(spec, type) && (spec.zone == null || spec.zone in type.zones)
+    ): Boolean = PlacementConstraints.allowsType(spec, type) && (spec.zone == null || spec.zone in type.zones)
 
     private suspend fun readJob(ref: JobRef): JobSnapshot {
         val snapshot = JobReader.readRecord(state, ref)
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -20,6 +20,7 @@
 import dewwing.control.core.leadership.LeadershipTimes
 import dewwing.control.core.placement.MachineIndex
 import dewwing.control.core.placement.Placement
+import dewwing.control.core.placement.PlacementConstraints
 import dewwing.control.core.placement.PlacementPreference
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.placement.Preemption
@@ -451,7 +452,7 @@
         return waitingJobs
             .asSequence()
             .take(MAX_WAITING_JOBS_CHECKED)
-            .any { !it.pending.isEmpty && machine.free.canFit(it.spec.need) && Placer.machineAllowed(it.spec, machine) }
+            .any { !it.pending.isEmpty && machine.free.canFit(it.spec.need) && PlacementConstraints.allowsMachine(it, machine) }
     }
 
     /** Returns the answer to [report]; empty if a newer report of the machine has arrived since, or if [report] itself was late. */
@@ -1029,7 +1030,7 @@
             val placements =
                 Placer.place(
                     job,
-                    candidates.filter { Placer.machineAllowed(job.spec, it) && it.id.value !in job.avoidedMachines },
+                    candidates.filter { PlacementConstraints.allowsMachine(job, it) },
                     limit,
                 )
             if (placements.isNotEmpty()) addStepRecord(batch, job, placements, now)
@@ -1201,7 +1202,7 @@
             updateWaitReason(job, "free quota of its team")
             return emptyList()
         }
-        val useful = Placer.preferredTypes(job.spec, types.values).mapTo(HashSet()) { it.name }
+        val useful = PlacementConstraints.preferredTypes(job.spec, types.values).mapTo(HashSet()) { it.name }
         val placements = Placer.place(job, machineIndex.machinesWithCapacity(job, useful, machineFilter), limit, preferenceOf(job))
         if (placements.isEmpty()) updateWaitReason(job, "a machine with enough free capacity")
         return placements
@@ -1295,7 +1296,7 @@
                 nextTask = job.pending.nextSetBit(nextTask + 1)
                 count--
             }
-            MachineAssignment(placement.machine, tasks)
+            MachineAssignment(placement.target, tasks)
         }
     }
 
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -10,7 +10,7 @@
 import dewwing.control.core.intent.RentalRecord
 import dewwing.control.core.job.ClassObjectives
 import dewwing.control.core.job.Job
-import dewwing.control.core.placement.Placer
+import dewwing.control.core.placement.PlacementConstraints
 import dewwing.control.core.quota.Quota
 import dewwing.protocol.Duration
 import dewwing.protocol.Instant
@@ -52,15 +52,8 @@
         val isOwn: Boolean,
     )
 
-    private data class Market(
-        val type: String,
-        val zone: String,
-        val spot: Boolean,
-    )
-
     private val rentals = LinkedHashMap<String, Rental>()
-    private val refusedUntil = HashMap<Market, Instant>()
-    private val consecutiveRefusals = HashMap<Market, Int>()
+    private val markets = RentalMarkets(types, ::pendingOrders)
     private val releaseCallDueAt = LinkedHashMap<MachineId, Instant>()
 
     /** Machines of each release record whose release the cloud has not confirmed yet. */
@@ -122,14 +115,8 @@
     ) {
         val rental = rentals[key] ?: return
         val request = rental.record.request
-        val market = Market(request.type, request.zone, request.spot)
-        if (rented == null || rented.size < request.count) {
-            val count = (consecutiveRefusals[market] ?: 0) + 1
-            consecutiveRefusals[market] = count
-            refusedUntil[market] = now + Duration(BASE_REFUSAL_BACKOFF_MS shl minOf(count - 1, MAX_REFUSAL_BACKOFF_DOUBLINGS))
-        } else {
-            consecutiveRefusals.remove(market)
-        }
+        val filled = rented != null && rented.size >= request.count
+        markets.onAnswered(Market(request.type, request.zone, request.spot), filled, now)
         if (rented == null) {
             log.info(
                 "cloud has no capacity for {} machines of type {}{} in zone {}",
@@ -263,19 +250,12 @@
         if (types.isEmpty()) return
         // Before its first list a new leader knows the types of hardly any machines and would order the whole fleet again.
         if (!machinesListed && now - leaderSince < firstReportsWithin) return
-        val bins = bins(now)
+        val planned = plannedMachines(now)
         workCounter.count(machines.size + ranked.size)
-        val wanted = demand(ranked, now, wallNowMs)
-        wanted.map { it.first.spec.need }.reduceOrNull(Resources::componentwiseMin)?.let { least ->
-            // Most machines are full most of the time; leaving them out saves every job from examining them.
-            val open = bins.filterTo(ArrayList()) { it.free.canFit(least) }
-            for ((job, count) in wanted) {
-                coverDemand(job, count, open, bins, now)
-                open.removeIf { !it.free.canFit(least) }
-            }
-        }
-        reserveStandby(bins, now)
-        releaseUnneeded(now, bins)
+        DemandCoverage(planned, types, markets, workCounter, now) { offer, count -> order(offer, count, now) }
+            .cover(demand(ranked, now, wallNowMs))
+        reserveStandby(planned, now)
+        releaseUnneeded(now, planned)
     }
 
     private class Arrival(
@@ -301,62 +281,51 @@
      * minutes after a start, when this was the case, waited up to 27 s.
      */
     private fun reserveStandby(
-        bins: MutableList<Bin>,
+        planned: List<PlannedMachine>,
         now: Instant,
     ) {
         while (arrivals.isNotEmpty() && now - arrivals.first().at > ARRIVAL_WINDOW) arrivals.removeFirst()
         val newest = arrivals.lastOrNull() ?: return
         val spec = newest.spec
-        val useful = Placer.preferredTypes(spec, types.values)
-        val leadS = useful.minOfOrNull { it.bootS + fetchS(spec, it) } ?: return
+        val preferred = PlacementConstraints.preferredTypes(spec, types.values)
+        val leadS = preferred.minOfOrNull { it.bootS + fetchS(spec, it) } ?: return
         var missing = (arrivals.sumOf { it.machines } / ARRIVAL_WINDOW.seconds * leadS * STANDBY_SHARE).toInt() - STANDBY_MACHINES_SPARED
-        for (bin in bins) {
+        for (standby in planned) {
             if (missing <= 0) return
-            if (!isAllowed(spec, useful, bin)) continue
+            if (!PlacementConstraints.allowsMarket(spec, standby.type, standby.zone, standby.spot)) continue
+            if (preferred.none { it.name == standby.type.name }) continue
             val preemptible =
-                bin.machine
+                standby.machine
                     ?.attempts
                     ?.values
                     ?.filter { it.job.spec.urgency > spec.urgency && !it.job.isGang }
                     ?.fold(Resources.NONE) { sum, a -> sum + a.job.spec.need } ?: Resources.NONE
-            if (!(bin.free + preemptible).canFit(spec.need)) continue
-            bin.claimed = true
+            if (!(standby.free + preemptible).canFit(spec.need)) continue
+            standby.isClaimed = true
             missing--
         }
         if (missing <= 0) return
-        val (type, zone, spot) = cheapestMarket(spec, missing, now) ?: return
-        order(type, zone, spot, minOf(missing, MAX_RENTAL_COUNT, orderAllowance(Market(type.name, zone, spot))), now)
+        val offer = markets.cheapest(spec, now) { missing } ?: return
+        order(offer, minOf(missing, RentalMarkets.MAX_RENTAL_COUNT, markets.allowance(offer.market)), now)
     }
 
-    /** Capacity of one machine, existing or on order, that the plan assigns tasks to. */
-    private class Bin(
-        val type: MachineType,
-        val zone: String,
-        val spot: Boolean,
-        var free: Resources,
-        val machine: Machine?,
-    ) {
-        var claimed = false
-    }
-
-    private fun bins(now: Instant): MutableList<Bin> {
-        val bins = ArrayList<Bin>()
+    private fun plannedMachines(now: Instant): MutableList<PlannedMachine> {
+        val planned = ArrayList<PlannedMachine>()
         for (machine in machines.values) {
             val type = machine.type ?: continue
             if (machine.schedulable ||
                 schedulableSoon(machine, type, now)
             ) {
-                bins.add(Bin(type, machine.zone, machine.spot, machine.free, machine))
+                planned.add(PlannedMachine(type, machine.zone, machine.spot, machine.free, machine))
             }
         }
         for (rental in rentals.values) {
             if (rental.stage > RentalStage.REQUESTED) continue
-            val type = types[rental.record.request.type] ?: continue
-            repeat(rental.record.request.count) {
-                bins.add(Bin(type, rental.record.request.zone, rental.record.request.spot, type.size, null))
-            }
+            val request = rental.record.request
+            val type = types[request.type] ?: continue
+            repeat(request.count) { planned.add(PlannedMachine(type, request.zone, request.spot, type.size, null)) }
         }
-        return bins
+        return planned
     }
 
     /** Whether the machine is not schedulable yet but should become so sooner than a machine ordered now. */
@@ -388,19 +357,19 @@
         ranked: List<Job>,
         now: Instant,
         wallNowMs: Long,
-    ): List<Pair<Job, Int>> {
-        val wanted = ArrayList<Pair<Job, Int>>()
+    ): List<JobDemand> {
+        val wanted = ArrayList<JobDemand>()
         val arrays = LinkedHashMap<String, MutableList<Job>>()
         for (job in ranked) {
             if (!job.isOpen || job.isComplete) continue
             if (job.isSuspect && now < job.notBefore) continue
             if (job.isGang) {
                 val placeable = job.liveAttempts.isEmpty() && quota.taskHeadroom(job.spec) >= job.spec.tasks
-                if (placeable && job.preemptedForAt == null) wanted.add(job to job.spec.tasks)
+                if (placeable && job.preemptedForAt == null) wanted.add(JobDemand(job, job.spec.tasks))
             } else if (job.isSuspect) {
-                if (job.liveAttempts.isEmpty()) wanted.add(job to 1)
+                if (job.liveAttempts.isEmpty()) wanted.add(JobDemand(job, 1))
             } else if (job.spec.shape == JobShape.SERVICE) {
-                wanted.add(job to minOf(job.pending.cardinality(), quota.taskHeadroom(job.spec)))
+                wanted.add(JobDemand(job, minOf(job.pending.cardinality(), quota.taskHeadroom(job.spec))))
             } else {
                 arrays.getOrPut(job.spec.jobClass) { ArrayList() }.add(job)
             }
@@ -410,7 +379,7 @@
             for (job in list) {
                 if (extra <= 0) break
                 val count = minOf(extra, job.pending.cardinality(), quota.taskHeadroom(job.spec))
-                if (count > 0) wanted.add(job to count)
+                if (count > 0) wanted.add(JobDemand(job, count))
                 extra -= count
             }
         }
@@ -443,7 +412,7 @@
         horizonS: Double,
         ageS: Double,
     ): Double {
-        val leadS = Placer.preferredTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: 0.0
+        val leadS = PlacementConstraints.preferredTypes(spec, types.values).minOfOrNull { it.bootS + fetchS(spec, it) } ?: 0.0
         val deadline = objectives.deadlineS(spec, ageS, ClassObjectives.estimatedRunS(spec) + leadS)
         return if (deadline == null) horizonS - ageS else deadline - ageS - leadS
     }
@@ -456,7 +425,7 @@
     /** Least number of machines that [spec] needs to start: enough for all tasks of a gang, or for one task of any other job. */
     fun minMachinesFor(spec: JobSpec): Int {
         val tasks = if (spec.shape == JobShape.GANG) spec.tasks else 1
-        val slots = Placer.preferredTypes(spec, types.values).maxOfOrNull { it.size.slots(spec.need) } ?: return 0
+        val slots = PlacementConstraints.preferredTypes(spec, types.values).maxOfOrNull { it.size.slots(spec.need) } ?: return 0
         return if (slots == 0) 0 else ceil(tasks / slots.toDouble()).toInt()
     }
 
@@ -466,7 +435,8 @@
         ageS: Double,
     ): Double = objectives.startDueS(spec, ageS, shortestFetchS(spec))
 
-    private fun shortestFetchS(spec: JobSpec): Double = Placer.preferredTypes(spec, types.values).minOfOrNull { fetchS(spec, it) } ?: 0.0
+    private fun shortestFetchS(spec: JobSpec): Double =
+        PlacementConstraints.preferredTypes(spec, types.values).minOfOrNull { fetchS(spec, it) } ?: 0.0
 
     /**
      * Whether a start that has to fetch the image would probably miss the start objective. Fetches may be a third slower, of
@@ -497,138 +467,52 @@
 
     /** Time from ordering a machine to a running task of [spec] if the boot is slow. */
     private fun slowStartS(spec: JobSpec): Double? =
-        Placer.preferredTypes(spec, types.values).minOfOrNull { it.bootS * SLOW_BOOT_FACTOR + fetchS(spec, it) }
+        PlacementConstraints.preferredTypes(spec, types.values).minOfOrNull { it.bootS * SLOW_BOOT_FACTOR + fetchS(spec, it) }
 
     fun fetchS(
         spec: JobSpec,
         type: MachineType,
     ): Double = spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
 
-    private fun coverDemand(
-        job: Job,
-        count: Int,
-        open: MutableList<Bin>,
-        bins: MutableList<Bin>,
-        now: Instant,
-    ) {
-        val spec = job.spec
-        var missing = count
-        val useful = Placer.preferredTypes(spec, types.values)
-        for (bin in open) {
-            if (missing <= 0) return
-            workCounter.count(1)
-            if (!bin.free.canFit(spec.need)) continue
-            // The job is never placed on a machine it avoids; counting on such a machine would leave it waiting forever.
-            if (bin.machine?.id?.value in job.avoidedMachines) continue
-            if (!isAllowed(spec, useful, bin)) continue
-            val fit = minOf(missing, bin.free.slots(spec.need))
-            if (fit <= 0) continue
-            bin.free -= spec.need * fit
-            bin.claimed = true
-            missing -= fit
-        }
-        var tries = MAX_MARKETS_PER_JOB
-        while (missing > 0 && tries-- > 0) {
-            val (type, zone, spot) = cheapestMarket(spec, missing, now) ?: return
-            val slots = type.size.slots(spec.need)
-            val machineCount =
-                minOf(ceil(missing / slots.toDouble()).toInt(), MAX_RENTAL_COUNT, orderAllowance(Market(type.name, zone, spot)))
-            order(type, zone, spot, machineCount, now)
-            repeat(machineCount) {
-                val bin = Bin(type, zone, spot, type.size, null)
-                val fit = minOf(missing, slots)
-                bin.free -= spec.need * fit
-                missing -= fit
-                open.add(bin)
-                bins.add(bin)
+    private fun pendingOrders(market: Market): PendingOrders {
+        val pending =
+            rentals.values.filter {
+                val request = it.record.request
+                it.stage <= RentalStage.REQUESTED && request.type == market.type && request.zone == market.zone &&
+                    request.spot == market.spot
             }
-        }
-    }
-
-    /** [useful] are the types suitable for the job, determined once for all machines. */
-    private fun isAllowed(
-        spec: JobSpec,
-        useful: List<MachineType>,
-        bin: Bin,
-    ): Boolean = (spec.spot || !bin.spot) && (spec.zone == null || spec.zone == bin.zone) && useful.any { it.name == bin.type.name }
-
-    private fun cheapestMarket(
-        spec: JobSpec,
-        missing: Int,
-        now: Instant,
-    ): Triple<MachineType, String, Boolean>? {
-        var best: Triple<MachineType, String, Boolean>? = null
-        var bestCost = Double.MAX_VALUE
-        for (type in Placer.preferredTypes(spec, types.values)) {
-            val slots = type.size.slots(spec.need)
-            if (slots <= 0) continue
-            val machineCount = ceil(missing / slots.toDouble())
-            for (zone in type.zones) {
-                if (spec.zone != null && spec.zone != zone) continue
-                for (spot in if (spec.spot) SPOT_FIRST else ON_DEMAND_ONLY) {
-                    val market = Market(type.name, zone, spot)
-                    if ((refusedUntil[market] ?: Instant.DISTANT_PAST) > now || orderAllowance(market) <= 0) continue
-                    val cost = machineCount * if (spot) type.spotPrice else type.price
-                    if (cost < bestCost) {
-                        bestCost = cost
-                        best = Triple(type, zone, spot)
-                    }
-                }
-            }
-        }
-        return best
-    }
-
-    /**
-     * How many more machines may be ordered in [market] on top of those on order: two full orders at a time, or one after a
-     * refusal. Without this limit, six orders per second for machines that the cloud did not have used up most of the write
-     * rate, which task starts need as well.
-     */
-    private fun orderAllowance(market: Market): Int {
-        val limit = if (market in consecutiveRefusals) MAX_RENTAL_COUNT else 2 * MAX_RENTAL_COUNT
-        var ordered = 0
-        for (rental in rentals.values) {
-            val request = rental.record.request
-            if (rental.stage <= RentalStage.REQUESTED && request.type == market.type && request.zone == market.zone &&
-                request.spot == market.spot
-            ) {
-                if (market in consecutiveRefusals && rental.stage > RentalStage.TO_LOG) return 0
-                ordered += request.count
-            }
-        }
-        return limit - ordered
+        return PendingOrders(pending.sumOf { it.record.request.count }, pending.any { it.stage > RentalStage.TO_LOG })
     }
 
     private fun order(
-        type: MachineType,
-        zone: String,
-        spot: Boolean,
+        offer: MarketOffer,
         count: Int,
         now: Instant,
     ) {
+        val (type, zone, spot) = offer.market
         // Demand of one round for the same market is merged into one order, as each order costs two records and a call.
         val mergeable =
             rentals.values.firstOrNull { rental ->
                 val request = rental.record.request
-                rental.stage == RentalStage.TO_LOG && rental.knownSince == now && request.type == type.name && request.zone == zone &&
+                rental.stage == RentalStage.TO_LOG && rental.knownSince == now && request.type == type && request.zone == zone &&
                     request.spot == spot &&
-                    request.count + count <= MAX_RENTAL_COUNT
+                    request.count + count <= RentalMarkets.MAX_RENTAL_COUNT
             }
         if (mergeable != null) {
             mergeable.record = RentalRecord(mergeable.record.request.copy(count = mergeable.record.request.count + count), null)
             return
         }
         val number = nextRental++
-        val request = RentalRequest(Keys.rentalName(term, number), type.name, zone, spot, count)
+        val request = RentalRequest(Keys.rentalName(term, number), type, zone, spot, count)
         rentals[keys.rental(term, number)] = Rental(RentalRecord(request, null), RentalStage.TO_LOG, now, now, isOwn = true)
-        log.info("ordering {} machines of type {}{} in zone {}", count, type.name, spotLabel(spot), zone)
+        log.info("ordering {} machines of type {}{} in zone {}", count, type, spotLabel(spot), zone)
     }
 
     private fun releaseUnneeded(
         now: Instant,
-        bins: List<Bin>,
+        planned: List<PlannedMachine>,
     ) {
-        val claimed = bins.filter { it.claimed }.mapNotNullTo(HashSet()) { it.machine?.id }
+        val claimed = planned.filter { it.isClaimed }.mapNotNullTo(HashSet()) { it.machine?.id }
         for (machine in machines.values) {
             if (machine.release != ReleaseStage.NONE || machine.attempts.isNotEmpty()) continue
             val reason = releaseReason(machine, now, machine.id in claimed) ?: continue
@@ -681,14 +565,10 @@
     }
 
     companion object {
-        private const val MAX_RENTAL_COUNT = 50
         private const val MAX_RELEASE_COUNT = 100
 
         /** Two quotes and a comma per machine. */
         private const val RELEASE_ENTRY_OVERHEAD_BYTES = 3
-        private const val MAX_MARKETS_PER_JOB = 6
-        private const val BASE_REFUSAL_BACKOFF_MS = 5_000L
-        private const val MAX_REFUSAL_BACKOFF_DOUBLINGS = 3
         private const val RECORD_RETENTION_MARGIN_MS = 30_000L
         private val ARRIVAL_WINDOW = Duration(60_000)
 
@@ -719,7 +599,5 @@
 
         /** Number of report intervals that a machine gets to show that it works again. */
         private const val UNREACHABLE_RETENTION_REPORTS = 4.0
-        private val SPOT_FIRST = listOf(true, false)
-        private val ON_DEMAND_ONLY = listOf(false)
     }
 }
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -2,6 +2,7 @@
 
 import dewwing.control.core.job.Attempt
 import dewwing.control.core.job.Job
+import dewwing.control.core.placement.Zoned
 import dewwing.protocol.Endpoint
 import dewwing.protocol.Instant
 import dewwing.protocol.MachineId
@@ -14,13 +15,13 @@
 class Machine(
     val id: MachineId,
     val knownSince: Instant,
-) {
+) : Zoned {
     var type: MachineType? = null
         set(value) {
             field = value
             free = (value?.size ?: Resources.NONE) - used
         }
-    var zone: String = ""
+    override var zone: String = ""
     var spot: Boolean = false
     var endpoint: Endpoint? = null
 
--- a/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
@@ -40,8 +40,7 @@
         fun leastLoadedUnreserved(count: Int): List<Machine> =
             leastLoaded.subList(reservedCount, minOf(leastLoaded.size, reservedCount + count))
 
-        fun allows(spec: JobSpec): Boolean =
-            Placer.typeAllowed(spec, type) && (spec.zone == null || spec.zone == zone) && (spec.spot || !spot)
+        fun allows(spec: JobSpec): Boolean = PlacementConstraints.allowsMarket(spec, type, zone, spot)
     }
 
     private val groups = ArrayList<MachineGroup>()
@@ -83,9 +82,7 @@
             workCounter.count(group.withCapacity.size)
             for (machine in group.withCapacity) {
                 if (!machine.free.canFit(job.spec.need) || !isAvailable(machine, job)) continue
-                if (job.avoidedMachines.isNotEmpty() && machine.id.value in job.avoidedMachines) {
-                    continue
-                }
+                if (PlacementConstraints.avoids(job, machine.id)) continue
                 if (condition(machine)) matching.add(machine)
             }
         }
@@ -111,7 +108,7 @@
             workCounter.count(candidates.size)
             for (machine in candidates) {
                 // The job is not placed on machines where it has failed, so capacity freed there would stay unused.
-                if (isAvailable(machine, job) && machine.id.value !in job.avoidedMachines) available.add(machine)
+                if (isAvailable(machine, job) && !PlacementConstraints.avoids(job, machine.id)) available.add(machine)
             }
         }
         return available
--- a/src/test/kotlin/dewwing/control/core/CoreTest.kt
+++ b/src/test/kotlin/dewwing/control/core/CoreTest.kt
@@ -11,6 +11,7 @@
 import dewwing.control.core.leadership.LeadershipTimes
 import dewwing.control.core.leadership.PeerHeartbeat
 import dewwing.control.core.leadership.WorkerSilenceDetector
+import dewwing.control.core.placement.PlacementConstraints
 import dewwing.control.core.placement.Placer
 import dewwing.control.core.quota.Quota
 import dewwing.protocol.Duration
@@ -419,7 +420,7 @@
         val machines = List(3) { machine(it) }
         fill(machines[1], Job(spec(9), Revision(1), 0), 0..1)
         val placed = Placer.place(Job(spec(3), Revision(1), 0), machines, 3)
-        assertEquals(machines[1], placed[0].machine)
+        assertEquals(machines[1], placed[0].target)
         assertEquals(2, placed[0].count)
         assertEquals(1, placed[1].count)
     }
@@ -431,7 +432,7 @@
         assertEquals(8, Placer.place(Job(spec(8, JobShape.GANG), Revision(1), 0), machines, 8).sumOf { it.count })
         assertTrue(Placer.place(Job(spec(8, JobShape.GANG, oneZone = true), Revision(1), 0), machines, 8).isEmpty())
         val placed = Placer.place(Job(spec(4, JobShape.GANG, oneZone = true), Revision(1), 0), machines, 4)
-        assertEquals(1, placed.map { it.machine.zone }.toSet().size)
+        assertEquals(1, placed.map { it.target.zone }.toSet().size)
     }
 
     @Test
@@ -442,9 +443,9 @@
         job.attach(sentAttempt)
         machines[0].attach(sentAttempt)
         val placed = Placer.place(job, machines, 4)
-        val placedInA = placed.filter { it.machine.zone == "a" }.sumOf { it.count }
+        val placedInA = placed.filter { it.target.zone == "a" }.sumOf { it.count }
         assertEquals(2, placedInA)
-        assertEquals(2, placed.filter { it.machine.zone == "b" }.sumOf { it.count })
+        assertEquals(2, placed.filter { it.target.zone == "b" }.sumOf { it.count })
     }
 
     /** Guards spread jobs through a change of leader: logged tasks may be on machines that have not reported to the new leader yet. */
@@ -460,7 +461,7 @@
             }
         }
         val placed = Placer.place(job, machines, 3)
-        assertEquals(mapOf("a" to 1, "b" to 1), placed.associate { it.machine.zone to it.count })
+        assertEquals(mapOf("a" to 1, "b" to 1), placed.associate { it.target.zone to it.count })
         // A job that requires one zone must not start more tasks while the zone of its first task is unknown.
         val singleZoneJob = Job(spec(5, oneZone = true), Revision(1), 0)
         singleZoneJob.attach(Attempt(singleZoneJob, 0, Step(1), unreportedMachine, AttemptPhase.INHERITED))
@@ -470,12 +471,12 @@
     @Test
     fun `machines with accelerators are avoided for tasks without accelerators while other types suffice`() {
         val withoutAccelerators = type.copy(name = "p", size = Resources(4.0, 0.0, 32.0))
-        assertEquals(listOf("p"), Placer.preferredTypes(spec(1), listOf(type, withoutAccelerators)).map { it.name })
+        assertEquals(listOf("p"), PlacementConstraints.preferredTypes(spec(1), listOf(type, withoutAccelerators)).map { it.name })
         assertEquals(
             listOf(
                 "k",
             ),
-            Placer.preferredTypes(spec(1).copy(need = Resources(6.0, 0.0, 1.0)), listOf(type, withoutAccelerators)).map {
+            PlacementConstraints.preferredTypes(spec(1).copy(need = Resources(6.0, 0.0, 1.0)), listOf(type, withoutAccelerators)).map {
                 it.name
             },
         )
--- a/src/test/kotlin/dewwing/control/core/SchedulerHarness.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerHarness.kt
@@ -28,8 +28,11 @@
     teams: List<Team> = listOf(Team("t", 0.0, null, 0.0, null)),
     objectives: List<Objective> = emptyList(),
     types: List<MachineType> = listOf(EIGHT_ACCELERATOR_TYPE),
+    /** Carries out rentals and releases; null if requests to the cloud are not answered. */
+    private val cloud: HarnessCloud? = null,
 ) {
     private class Worker(
+        val type: String,
         val zone: String,
         val spot: Boolean,
     ) {
@@ -37,6 +40,11 @@
         var seq = 0L
     }
 
+    /** A cloud that rents out at most [capacity] machines of each zone at a time; zones that are not named have no limit. */
+    class HarnessCloud(
+        val capacity: Map<String, Int> = emptyMap(),
+    )
+
     private val settings =
         testSettings(Duration(1_000), Duration(10_000), StateLimits(1e6, 1e6, 65_536, 64)).copy(teams = teams, objectives = objectives)
     val scheduler =
@@ -47,6 +55,7 @@
     private val workers = LinkedHashMap<String, Worker>()
     private var nowMs = 0L
     private var revision = 1_000L
+    private var nextMachine = 1
 
     /** Tasks that were killed while running, with their grace periods in seconds. */
     val killedTasks = LinkedHashMap<TaskRef, Double>()
@@ -59,8 +68,35 @@
         id: String,
         zone: String = "a",
         spot: Boolean = false,
+        type: String = EIGHT_ACCELERATOR_TYPE.name,
     ) {
-        workers[id] = Worker(zone, spot)
+        workers[id] = Worker(type, zone, spot)
+    }
+
+    /** The cloud takes the machine [id] back without a notice. */
+    fun loseMachine(id: String) {
+        workers.remove(id)
+    }
+
+    private fun rent(effect: Effect.Rent) {
+        val request = effect.request
+        rentedMachineCount += request.count
+        if (cloud == null) return
+        val available = (cloud.capacity[request.zone] ?: Int.MAX_VALUE) - workers.values.count { it.zone == request.zone }
+        val count = minOf(request.count, available)
+        if (count <= 0) {
+            scheduler.onRented(effect.key, null, Instant(nowMs))
+            return
+        }
+        val ids = List(count) { "m-rented-${nextMachine++}" }
+        scheduler.onRented(effect.key, ids.map(::MachineId), Instant(nowMs))
+        for (id in ids) addMachine(id, request.zone, request.spot, request.type)
+    }
+
+    private fun release(effect: Effect.Release) {
+        if (cloud == null) return
+        for (id in effect.machines) workers.remove(id.value)
+        scheduler.onReleased(effect.machines, Instant(nowMs))
     }
 
     fun submit(spec: JobSpec) {
@@ -72,7 +108,7 @@
         repeat((seconds * 2).toInt()) {
             nowMs += 500
             runRound()
-            for (id in workers.keys) sendReport(id)
+            for (id in workers.keys.toList()) sendReport(id)
         }
     }
 
@@ -82,8 +118,8 @@
             when (effect) {
                 is Effect.Write -> scheduler.onWriteApplied(Revision(++revision), Instant(nowMs))
                 is Effect.Kill -> effect.kills.forEach { kill(effect.machine.value, it) }
-                is Effect.Rent -> rentedMachineCount += effect.request.count
-                is Effect.Release -> Unit
+                is Effect.Rent -> rent(effect)
+                is Effect.Release -> release(effect)
             }
         }
     }
@@ -92,14 +128,14 @@
         id: String,
         command: Command.Kill,
     ) {
-        if (workers.getValue(id).runningTasks.remove(command.task) != null) killedTasks[command.task] = command.graceS
+        if (workers[id]?.runningTasks?.remove(command.task) != null) killedTasks[command.task] = command.graceS
     }
 
     private fun sendReport(id: String) {
         val worker = workers.getValue(id)
         val position = ReportPosition(1, ++worker.seq)
         val tasks = worker.runningTasks.values.toList()
-        val report = Report(MachineId(id), "10.0.0.1:1", "k", worker.zone, worker.spot, position, TERM, null, tasks)
+        val report = Report(MachineId(id), "10.0.0.1:1", worker.type, worker.zone, worker.spot, position, TERM, null, tasks)
         scheduler.onReport(report, Instant(nowMs))
         for (command in scheduler.takeCommands(report, Instant(nowMs), launchAllowed = true)) {
             when (command) {
@@ -121,6 +157,16 @@
     /** Names of the machines that run tasks of [job]. */
     fun machinesOf(job: JobSpec): Set<String> = workers.filterValues { w -> w.runningTasks.keys.any { it.job == job.ref } }.keys
 
+    /** Number of running tasks of [job] in each zone. */
+    fun runningTasksByZone(job: JobSpec): Map<String, Int> =
+        workers.values
+            .groupBy { it.zone }
+            .mapValues { (_, inZone) -> inZone.sumOf { w -> w.runningTasks.keys.count { it.job == job.ref } } }
+            .filterValues { it > 0 }
+
+    /** Number of machines that run no task. */
+    val idleMachineCount: Int get() = workers.values.count { it.runningTasks.isEmpty() }
+
     fun runningTaskCount(job: JobSpec): Int = workers.values.sumOf { w -> w.runningTasks.keys.count { it.job == job.ref } }
 
     companion object {
