Preemption and reservations obey the limits of spread gangs

Callers saw work stopped for a gang with `apart` that then did not start: the cheapest tasks were stopped in one zone, of which the gang may use half.

Cause: Preemption and MachineIndex.reserve had their own code for `together` and none for `apart`. Both count with ZoneLimits now, as the placement and the plan of machines do, so what is freed or kept for a gang is what it may use.

Test: ZoneConstraintsTest, a spread gang among full machines; on the commit before it failed ("expected {a=2, b=2} but was {}"), now it passes.

--- a/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
@@ -157,16 +157,19 @@
         job: Job,
         allowed: List<MachineGroup>,
     ) {
+        val limits = ZoneLimits(job)
         var missing = job.spec.tasks
         while (missing > 0) {
             val group =
                 allowed
-                    .filter { it.reservedCount < it.leastLoaded.size }
+                    .filter { it.reservedCount < it.leastLoaded.size && limits.remaining(it.zone) > 0 }
                     .minByOrNull { it.leastLoaded[it.reservedCount].attempts.size } ?: return
             workCounter.count(1)
             val machine = group.leastLoaded[group.reservedCount++]
             if (!isAvailable(machine, job) || !reserved.add(machine)) continue
-            missing -= group.type.size.slots(job.spec.need)
+            val slots = minOf(group.type.size.slots(job.spec.need), limits.remaining(group.zone))
+            limits.add(group.zone, slots)
+            missing -= slots
         }
     }
 
--- a/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/Preemption.kt
@@ -18,7 +18,9 @@
     val victims: List<Attempt>,
     val slots: Int,
     val costS: Double,
-)
+) : Zoned {
+    override val zone: String get() = machine.zone
+}
 
 /**
  * Chooses which tasks of lower priority to stop so that a job that cannot wait for a machine to boot starts now.
@@ -49,18 +51,20 @@
                         isGangPreemptible(it, job, now)
                 })
             }
-        val zones = if (spec.oneZone) targets.groupBy { it.machine.zone }.values else listOf(targets)
-        return zones
-            .mapNotNull { zone ->
-                val chosen = ArrayList<PreemptionTarget>()
-                var slots = 0
-                for (target in zone.sortedBy { it.costS / it.slots }) {
-                    if (slots >= wanted) break
-                    chosen.add(target)
-                    slots += target.slots
-                }
-                chosen.takeIf { slots >= wanted }
-            }.minByOrNull { chosen -> chosen.sumOf { it.costS } } ?: emptyList()
+        return ZoneLimits
+            .alternatives(job, targets)
+            .mapNotNull { alternative -> cheapestFor(job, wanted, alternative) }
+            .minByOrNull { chosen -> chosen.sumOf { it.costS } } ?: emptyList()
+    }
+
+    /** The cheapest of [targets] that hold [wanted] tasks of [job] within its zone limits; null if they cannot. */
+    private fun cheapestFor(
+        job: Job,
+        wanted: Int,
+        targets: List<PreemptionTarget>,
+    ): List<PreemptionTarget>? {
+        val allocations = ZoneLimits(job).allocate(targets.sortedBy { it.costS / it.slots }, wanted) { it.slots }
+        return allocations.map { it.target }.takeIf { allocations.sumOf { allocation -> allocation.count } >= wanted }
     }
 
     /**
--- a/src/test/kotlin/dewwing/control/core/ZoneConstraintsTest.kt
+++ b/src/test/kotlin/dewwing/control/core/ZoneConstraintsTest.kt
@@ -5,6 +5,7 @@
 import dewwing.protocol.JobShape
 import dewwing.protocol.JobSpec
 import dewwing.protocol.Objective
+import dewwing.protocol.Urgency
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -67,6 +68,23 @@
         assertEquals(mapOf("b" to 8), harness.runningTasksByZone(array))
     }
 
+    /** Guards against tasks stopped for a spread gang in a zone that may not hold all of it. */
+    @Test
+    fun `a gang that must be spread preempts only as many tasks per zone as the zone may hold`() {
+        val harness = SchedulerHarness(objectives = listOf(Objective.Start("gangs", 5.0)))
+        for (i in 1..4) harness.addMachine("m-a$i", "a")
+        for (i in 1..2) harness.addMachine("m-b$i", "b")
+        val fillers = listOf(job(1, tasks = 32).copy(zone = "a"), job(2, tasks = 16).copy(zone = "b"))
+        fillers.forEach(harness::submit)
+        harness.run(5.0)
+        assertEquals(48, fillers.sumOf(harness::runningTaskCount))
+        val gang = job(3, 4, JobShape.GANG, Urgency.HIGH, accelerators = 8).copy(jobClass = "gangs", spread = true)
+        harness.submit(gang)
+        harness.run(5.0)
+        assertEquals(mapOf("a" to 2, "b" to 2), harness.runningTasksByZone(gang))
+        assertEquals(32, harness.killedTasks.size)
+    }
+
     private class RandomSite(
         seed: Int,
     ) {
