A leader keeps cancellations that reach it while it restores its state

The leader that kept them running had told the user.

Cause: Leader.onCancelled handed a cancellation to the scheduler, and dropped it while there was none, that is, until the state is restored. The list of the jobs was older; peers' heartbeats carry only what the peers have confirmed; the watch does not answer in an outage. A retry of the restore did not matter, nor did the reading before an election: an owner with such a reading dropped it as well.

Fix: until its state is restored a leader keeps the cancellations, ends the tasks of those jobs in the answers that it may give, and applies them to the restored scheduler in the step in which that takes over.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -14,6 +14,7 @@
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.leadership.Authority
 import dewwing.control.core.leadership.Cancellation
+import dewwing.control.core.leadership.CancellationsBeforeRestore
 import dewwing.control.core.leadership.ConfirmedCancellations
 import dewwing.control.core.leadership.Leadership
 import dewwing.control.core.leadership.LeadershipTimes
@@ -278,12 +279,8 @@
         if (authority == Authority.NONE) return redirect(election, TurnAwayReason.NO_AUTHORITY)
         val scheduler = leader.scheduler
         if (scheduler == null) {
-            leader.commandsBeforeRestore(report)?.let { return HttpResponse.of(200, Wire.reportAnswer(leader.term, it)) }
-            // Without them, this leader does not know which of the tasks are cancelled until its state is restored.
-            if (authority != Authority.FULL || !leadership.mayRenewBeforeRestore(leader.predecessorReady)) {
-                return redirect(election, TurnAwayReason.NOT_RESTORED)
-            }
-            return HttpResponse.of(200, Wire.reportAnswer(leader.term, emptyList()))
+            val commands = leader.commandsBeforeRestore(report, authority) ?: return redirect(election, TurnAwayReason.NOT_RESTORED)
+            return HttpResponse.of(200, Wire.reportAnswer(leader.term, commands))
         }
         if (!leadership.knowsCancellations(now())) return redirect(election, TurnAwayReason.CANCELLATIONS_UNKNOWN)
         scheduler.onReport(report, now())
@@ -357,7 +354,7 @@
     ) {
         lastHeartbeats[received.peer] = received
         for (cancellation in received.cancellations ?: emptyList()) {
-            for (leader in localLeaders) leader.onCancelled(cancellation.job, cancellation.revision)
+            for (leader in localLeaders) leader.onCancelled(cancellation)
         }
         for (election in elections) updateElection(election, received, snapshot)
     }
@@ -385,8 +382,9 @@
         job: JobRef,
         revision: Revision,
     ) {
-        confirmedCancellations.record(Cancellation(job, revision))
-        for (leader in localLeaders) leader.onCancelled(job, revision)
+        val cancellation = Cancellation(job, revision)
+        confirmedCancellations.record(cancellation)
+        for (leader in localLeaders) leader.onCancelled(cancellation)
     }
 
     private suspend fun answerPeer(request: PeerRequest): PeerResponse =
@@ -674,7 +672,7 @@
         everSharded = everSharded,
         ownsMachine = ownsMachine,
         restoreSharingState = restoreSharingState,
-        cancelledJobs = elected.cancelledJobs,
+        cancellationsBeforeRestore = CancellationsBeforeRestore(elected.cancelledJobs),
     )
 
     // ---- sharding --------------------------------------------------------------------------------------------
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -14,7 +14,8 @@
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentalRecord
 import dewwing.control.core.leadership.Authority
-import dewwing.control.core.leadership.CancelledJobs
+import dewwing.control.core.leadership.Cancellation
+import dewwing.control.core.leadership.CancellationsBeforeRestore
 import dewwing.control.core.leadership.Leadership
 import dewwing.control.core.leadership.WorkerSilenceDetector
 import dewwing.control.core.sharing.SchedulerScope
@@ -53,7 +54,7 @@
     private val termRevision: Revision,
     private val scope: SchedulerScope,
     /** Whether the previous leader had restored its state. */
-    val predecessorReady: Boolean,
+    private val predecessorReady: Boolean,
     private val stateLease: StateLeaseId,
     private val leadership: Leadership,
     private val state: StateClient,
@@ -75,8 +76,8 @@
     private val ownsMachine: (Scheduler, MachineId) -> Boolean = { _, _ -> true },
     /** Restores what the scheduler needs besides its own records before its first scheduling round. */
     private val restoreSharingState: suspend (Scheduler) -> Unit = {},
-    /** What this controller read of the jobs before its election, if it did; replaced by the scheduler once that is restored. */
-    private val cancelledJobs: CancelledJobs? = null,
+    /** The cancellations known at the election; applied to the scheduler once that is restored. */
+    private val cancellationsBeforeRestore: CancellationsBeforeRestore = CancellationsBeforeRestore(readBeforeElection = null),
 ) {
     private val log = LoggerFactory.getLogger("leader")
     private val roundRequests = Channel<Unit>(Channel.CONFLATED)
@@ -98,23 +99,35 @@
         private set
 
     /** Every change of a job up to this revision is known here; null before the first read of the jobs. */
-    var jobsReadUpTo: Revision? = cancelledJobs?.readUpTo
+    var jobsReadUpTo: Revision? = cancellationsBeforeRestore.readBeforeElection?.readUpTo
         private set
 
-    fun onCancelled(
-        job: JobRef,
-        revision: Revision,
-    ) {
-        cancelledJobs?.add(job)
-        scheduler?.onCancelled(job, revision, clock.now())
+    init {
+        cancellationsBeforeRestore.readBeforeElection?.let { leadership.jobsRead(it.requestedAt) }
+    }
+
+    /** A cancellation has been confirmed to a user, or is about to be. */
+    fun onCancelled(cancellation: Cancellation) {
+        val restored = scheduler
+        if (restored == null) {
+            cancellationsBeforeRestore.add(cancellation)
+        } else {
+            restored.onCancelled(cancellation.job, cancellation.revision, clock.now())
+        }
     }
 
     /**
      * The commands of an answer to [report] before the state is restored: the reported tasks of cancelled jobs are ended. Null
-     * if this leader does not know the cancelled jobs yet.
+     * if this leader may not answer yet, since it does not know all cancelled jobs.
      */
-    fun commandsBeforeRestore(report: Report): List<Command>? =
-        cancelledJobs?.takeIf { leadership.knowsCancellations(clock.now()) }?.killsFor(report)
+    fun commandsBeforeRestore(
+        report: Report,
+        authority: Authority,
+    ): List<Command>? {
+        val hasReadJobs = cancellationsBeforeRestore.readBeforeElection != null && leadership.knowsCancellations(clock.now())
+        val mayAnswer = hasReadJobs || (authority == Authority.FULL && leadership.mayRenewBeforeRestore(predecessorReady))
+        return if (mayAnswer) cancellationsBeforeRestore.killsFor(report) else null
+    }
 
     fun requestRound() {
         roundRequests.trySend(Unit)
@@ -268,7 +281,7 @@
                 }
                 restoreSharingState(restored)
                 restored.finishRestore(clock.now())
-                scheduler = restored
+                startScheduling(restored)
                 onJobsRead(since, requestedAt)
                 return since
             } catch (e: IOException) {
@@ -278,6 +291,15 @@
         }
     }
 
+    /** From now on, cancellations go to [restored] directly. Those confirmed after its read of the jobs are applied to it first. */
+    private fun startScheduling(restored: Scheduler) {
+        for (cancellation in cancellationsBeforeRestore.confirmed()) {
+            log.info("job {} was cancelled before the state was restored", cancellation.job)
+            restored.onCancelled(cancellation.job, cancellation.revision, clock.now())
+        }
+        scheduler = restored
+    }
+
     /** A single leader also reads the records of shards if sharding has been in use at some time. */
     private fun recordPrefixes(): List<String> =
         if (scope.shard == null && everSharded) scope.recordPrefixes + RecordKeys.SHARDS else scope.recordPrefixes
--- a/src/main/kotlin/dewwing/control/app/LeaderElection.kt
+++ b/src/main/kotlin/dewwing/control/app/LeaderElection.kt
@@ -237,7 +237,6 @@
         log.info("{}this controller was elected for term {}", logPrefix(), elected.term)
         confirmLeader(node)
         leadership.elected(elected.term, elected.leaseSentAt)
-        elected.cancelledJobs?.let { leadership.jobsRead(it.requestedAt) }
         val leader = newLeader(this, elected)
         localLeader = leader
         try {
--- a/src/main/kotlin/dewwing/control/sharing/ShardedControl.kt
+++ b/src/main/kotlin/dewwing/control/sharing/ShardedControl.kt
@@ -288,7 +288,7 @@
 
     private suspend fun readCancelledJobs(): CancelledJobs {
         val requestedAt = host.now()
-        val cancelled = ArrayList<JobRef>()
+        val cancelled = HashSet<JobRef>()
         val readUpTo =
             state.list(Keys.JOBS) { page ->
                 for (entry in page) if (isCancelled(entry)) Keys.parseJobKey(entry.key)?.let(cancelled::add)
--- a/src/test/kotlin/dewwing/cluster/FakeStateService.kt
+++ b/src/test/kotlin/dewwing/cluster/FakeStateService.kt
@@ -62,6 +62,12 @@
     /** Decides the fate of a writing transaction by its operations. */
     var fateOf: (operations: List<Fields>) -> CommitFate = { CommitFate.APPLY }
 
+    /** Called before each request is carried out, and may delay it. An outage that begins meanwhile refuses the request. */
+    var beforeHandling: suspend (request: HttpRequest) -> Unit = {}
+
+    /** Called before the answer to a watch is composed, with the watched prefix, and may delay it. */
+    var beforeWatchResponse: suspend (prefix: String) -> Unit = {}
+
     /** Called with the changed keys after each change, before it is answered. */
     var afterChange: (keys: Set<String>) -> Unit = {}
     private val deferredCommits = ArrayList<Fields>()
@@ -75,6 +81,7 @@
     fun keysUnder(prefix: String): List<String> = storedValues.tailMap(prefix).keys.takeWhile { it.startsWith(prefix) }
 
     suspend fun handle(request: HttpRequest): HttpResponse {
+        beforeHandling(request)
         if (isDown) return HttpResponse.error(503, "outage")
         expireLeases()
         return when {
@@ -127,6 +134,7 @@
         if (pendingChanges().isEmpty()) {
             withTimeoutOrNull(query["holdMs"]?.toLong() ?: 0) { revision.first { it > since && pendingChanges().isNotEmpty() } }
         }
+        beforeWatchResponse(prefix)
         val changeLog =
             pendingChanges().map {
                 if (it.isRemoval) {
@@ -227,6 +235,11 @@
         for (id in leases.filterValues { it.expiresAtMs < nowMs() }.keys) endLease(id)
     }
 
+    /** Ends the lease that [key] is bound to, as if it had not been renewed in time. */
+    fun endLeaseOf(key: String) {
+        storedValues[key]?.lease?.let(::endLease)
+    }
+
     private fun endLease(id: Long) {
         leases.remove(id)
         val leaseKeys = storedValues.filterValues { it.lease == id }.keys.toList()
