A successor knows the cancellations it confirmed before its election

With sharing on, callers could see a cancelled job run on through an outage of the state service, past cancel_s, if they cancelled it at the controller that its shard was just moving to. Until now this was reasoned only (docs/sharing.md, "Not mended").

Cause: a successor reads the cancelled jobs before its election. What the same controller confirms after that was passed to the leaders it had at that moment; the one of the offered shard did not exist yet.

Evidence: HandOffOutageTest, a job cancelled at the successor while its election is held.

Fix: the reading is completed by all newer cancellations that this controller has confirmed when the term begins, and is not used if some are no longer kept.

The two older tests of cancellations during a move are stricter: their gangs are shorter than the time limit, so they must not have run to their end.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -672,9 +672,21 @@
         everSharded = everSharded,
         ownsMachine = ownsMachine,
         restoreSharingState = restoreSharingState,
-        cancellationsBeforeRestore = CancellationsBeforeRestore(elected.cancelledJobs),
+        cancellationsBeforeRestore = cancellationsKnownAt(elected),
     )
 
+    /**
+     * What [elected] has read of the cancelled jobs, with those that this controller has confirmed since: no peer tells them, and
+     * there was no leader here yet to be told. Without those, the read is not complete and must not be used.
+     */
+    private fun cancellationsKnownAt(elected: ElectedTerm): CancellationsBeforeRestore {
+        val read = elected.cancelledJobs
+        val confirmedSince = read?.let { confirmedCancellations.newerThan(it.readUpTo) }
+        val known = CancellationsBeforeRestore(read.takeIf { confirmedSince != null })
+        confirmedSince?.forEach(known::add)
+        return known
+    }
+
     // ---- sharding --------------------------------------------------------------------------------------------
 
     private suspend fun runSharded(
--- a/src/test/kotlin/dewwing/cluster/HandOffOutageTest.kt
+++ b/src/test/kotlin/dewwing/cluster/HandOffOutageTest.kt
@@ -1,16 +1,23 @@
 package dewwing.cluster
 
 import dewwing.cluster.FakeStateService.CommitFate
+import dewwing.control.core.intent.Keys
 import dewwing.control.core.sharing.PlannerPolicy
 import dewwing.control.core.sharing.ShardLayout
 import dewwing.control.core.sharing.SharingKeys
+import dewwing.control.http.HttpRequest
 import dewwing.control.sharing.SharingOptions
 import dewwing.protocol.Duration
 import dewwing.protocol.Fields
 import dewwing.protocol.JobSpec
+import dewwing.protocol.Pack
+import dewwing.protocol.Wire
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
@@ -36,6 +43,7 @@
         var changes = 0
             private set
         private val changeActions = HashMap<Int, () -> Unit>()
+        private val recordActions = HashMap<String, () -> Unit>()
 
         /** Key of the moving shard's holder record; null until the move begins. */
         var holder: String? = null
@@ -58,6 +66,7 @@
         private fun afterChange(keys: Set<String>) {
             if (holder == null) keys.filter(busyHolders::contains).forEach(::awaitBeginning)
             if (holder in keys) changeActions[++changes]?.invoke()
+            for (key in keys) recordActions[key]?.invoke()
         }
 
         /** The election that ends an earlier move changes the owner. A move begins while the record names the owner, or nobody. */
@@ -74,11 +83,30 @@
             changeActions[count] = action
         }
 
+        /** Calls [action] after each change of the record [key]. */
+        fun onRecordChange(
+            key: String,
+            action: () -> Unit,
+        ) {
+            recordActions[key] = action
+        }
+
         /** Decides by [fateOf] on the transactions that make another controller the holder of the moving shard. */
         fun onElection(fateOf: () -> CommitFate) {
             cluster.stateService.fateOf = { operations -> if (operations.any(::electsNewOwner)) fateOf() else CommitFate.APPLY }
         }
 
+        /** Delays the transactions that make another controller the holder of the moving shard by [delayElection]. */
+        fun beforeElection(delayElection: suspend () -> Unit) {
+            cluster.stateService.beforeHandling = { request -> if (isElection(request)) delayElection() }
+        }
+
+        private fun isElection(request: HttpRequest): Boolean {
+            if (request.path != Wire.COMMIT) return false
+            val body = Pack.decodeMap(request.body)
+            return "apply" in body.raw && body.mapList("apply").any(::electsNewOwner)
+        }
+
         private fun electsNewOwner(operation: Fields): Boolean {
             val key = operation.textOrNull("put") ?: return false
             return key == holder && operation.mapOrNull("value")?.text("node") != owner
@@ -165,6 +193,17 @@
             cluster.onFakesThread { assertEquals(0, cluster.taskTracker.stoppedTaskCount, "tasks stopped") }
         }
 
+    /** Waits until no task of [cancelled] is on a machine. The gang is shorter than the time limit, so it must not have run to its end. */
+    private suspend fun awaitStopped(
+        cluster: LoopbackCluster,
+        cancelled: JobSpec,
+    ) {
+        cluster.awaitCondition("all tasks of the cancelled job have ended", timeoutMs = CANCEL_TIMEOUT_MS) {
+            cluster.onFakesThread { cluster.taskTracker.machinesOf(cancelled.ref).isEmpty() }
+        }
+        cluster.onFakesThread { assertFalse(cluster.taskTracker.isDone(cancelled.ref), "the cancelled job ran to its end") }
+    }
+
     /** Guards against an outage that hides a cancellation from the owner, or from the successor, of a shard that moves. */
     private fun cancellationDuringMove(outageAtElection: Boolean) =
         runWithMovingGangs { cluster, jobs, move ->
@@ -187,9 +226,7 @@
                 }
             }
             cluster.awaitCondition("the outage begins") { cluster.onFakesThread { cluster.stateService.isDown } }
-            cluster.awaitCondition("all tasks of the cancelled job have ended", timeoutMs = CANCEL_TIMEOUT_MS) {
-                cluster.onFakesThread { cluster.taskTracker.machinesOf(cancelled.ref).isEmpty() }
-            }
+            awaitStopped(cluster, cancelled)
             cluster.onFakesThread { cluster.taskTracker.forbidStarts(cancelled.ref) }
             cluster.onFakesThread { cluster.stateService.isDown = false }
             cluster.awaitCondition("all other jobs are done") { cluster.allDone(jobs - cancelled) }
@@ -203,6 +240,40 @@
     fun `a job that is cancelled just before its shard's new owner is elected ends within the limit, in an outage too`() =
         cancellationDuringMove(outageAtElection = true)
 
+    /** Guards against a successor that forgets what it confirms between its reading of the cancelled jobs and its election. */
+    @Test
+    fun `a job that its shard's successor cancels just before its election ends within the limit, in an outage too`() =
+        runWithMovingGangs { cluster, jobs, move ->
+            val candidacy = CompletableDeferred<Unit>()
+            val mayElect = CompletableDeferred<Unit>()
+            val outageIsOver = CompletableDeferred<Unit>()
+            cluster.onFakesThread {
+                move.beforeElection {
+                    candidacy.complete(Unit)
+                    mayElect.await()
+                }
+            }
+            withTimeout(MOVE_TIMEOUT_MS) { candidacy.await() }
+            val successor = cluster.onFakesThread { move.successor() }
+            val cancelled = jobs.first { SharingKeys.holder(ShardLayout(SHARDS).shardOf(it.ref)) == move.holder }
+            cluster.onFakesThread {
+                move.onChange(move.changes + 1) { cluster.stateService.isDown = true }
+                // The owner must not hear of the cancellation: neither by its watch of the jobs nor by a heartbeat.
+                cluster.stateService.beforeWatchResponse = { prefix -> if (prefix == Keys.JOBS) outageIsOver.await() }
+                move.onRecordChange(Keys.job(cancelled.ref)) { mayElect.complete(Unit) }
+            }
+            cluster.cancel(cancelled, (0 until CONTROLLERS).first { "node-$it" == successor })
+            cluster.awaitCondition("the outage begins") { cluster.onFakesThread { cluster.stateService.isDown } }
+            assertEquals(successor, cluster.onFakesThread { move.node() }, "the owner during the outage")
+            awaitStopped(cluster, cancelled)
+            cluster.onFakesThread { cluster.taskTracker.forbidStarts(cancelled.ref) }
+            cluster.onFakesThread {
+                cluster.stateService.isDown = false
+                outageIsOver.complete(Unit)
+            }
+            cluster.awaitCondition("all other jobs are done") { cluster.allDone(jobs - cancelled) }
+        }
+
     /** Guards against a shard that waits for ever for a target of a version that takes no offers. */
     @Test
     fun `shards move to controllers that announce no offers, as in earlier versions`() =
@@ -225,6 +296,7 @@
 
         const val MEMBERS = "shards/member/"
         const val CANCEL_TIMEOUT_MS = 25_000L
+        const val MOVE_TIMEOUT_MS = 60_000L
 
         /** Longer than a drill needs to reach a busy shard, and an outage after that. */
         const val GANG_SECONDS = 20.0
