--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -102,6 +102,8 @@
             Thread.sleep(20_000);
             return null;
         }
+        boolean late = request.path().equals("/do") && world.random.nextDouble() < world.lateCommands;
+        if (late) Thread.sleep(2000 + world.random.nextInt(14_000));
         while (World.ms() < hangsUntil) Thread.sleep(50);
         synchronized (world) {
             if (gone) return null;
@@ -112,7 +114,8 @@
             long token = Mp.num(body.get("crest"));
             if (token < crest || Mp.num(body.get("flight")) != flight) return Http.Answer.of(409, report());
             crest = token;
-            execute(Mp.maps(body.get("calls")), "do");
+            execute(Mp.maps(body.get("calls")), late ? "late do" : "do");
+            if (late) return null;
             return Http.Answer.of(200, report());
         }
     }
@@ -160,6 +163,13 @@
             node = (node + 1) % world.nodes;
             return false;
         }
+        if (world.random.nextDouble() < world.lateReports) {
+            long delay = 2000 + world.random.nextInt(15_000);
+            World.daemon("late report", () -> {
+                Thread.sleep(delay);
+                for (int i = 0; i < world.nodes; i++) new Http.Client(world.controllerPort(i)).call("POST", "/hello", report, 4000);
+            });
+        }
         Http.Answer answer;
         try {
             answer = clients.computeIfAbsent(world.controllerPort(node), Http.Client::new).call("POST", "/hello", report, 4000);
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -77,6 +77,10 @@
     double listLagS = 3;
     State state;
     Cloud cloud;
+    /** Share of the reports of which a copy arrives at every controller later. */
+    volatile double lateReports = 0;
+    /** Share of the direct commands that are carried out late and not answered. */
+    volatile double lateCommands = 0;
     String deploy = "service.toml";
     boolean recordReports = System.getenv("RECORD_REPORTS") != null;
 
