--- a/review/standins-2/Cloud.java
+++ b/review/standins-2/Cloud.java
@@ -7,7 +7,12 @@
 
 /** The cloud of the protocol page: rents machines up to a capacity a market, lists them at once, and boots them at once. */
 final class Cloud {
-    record Type(String name, double cores, double accelerators, double memoryGb, double rate, double spot, double readyS, List<String> zones) {}
+    record Type(String name, double cores, double accelerators, double memoryGb, double rate, double spot, double readyS, List<String> zones,
+        double pullGbPerS) {
+        Type(String name, double cores, double accelerators, double memoryGb, double rate, double spot, double readyS, List<String> zones) {
+            this(name, cores, accelerators, memoryGb, rate, spot, readyS, zones, 2.0);
+        }
+    }
 
     private final World world;
     private final List<Type> types;
@@ -60,7 +65,7 @@
             List<Object> list = new ArrayList<>();
             for (Type t : types) {
                 list.add(Mp.map("name", t.name, "cores", t.cores, "accelerators", t.accelerators, "memoryGb", t.memoryGb, "cacheGb", 100.0,
-                    "pullGbPerS", 2.0, "rate", t.rate, "marketPrice", t.spot, "readyS", t.readyS, "meadows", t.zones));
+                    "pullGbPerS", t.pullGbPerS, "rate", t.rate, "marketPrice", t.spot, "readyS", t.readyS, "meadows", t.zones));
             }
             return Http.Answer.of(200, Mp.map("perchKinds", list));
         }
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -16,7 +16,7 @@
         String cause;
         long imageAt;
         long runningSince = -1;
-        long launchedAt;
+        long waitsSince;
         long peerLostAt = -1;
         boolean counted;
     }
@@ -29,7 +29,9 @@
     private final Http.Server server;
     private final Map<Integer, Http.Client> clients = new HashMap<>();
     final Map<String, Task> tasks = new LinkedHashMap<>();
-    private final Map<String, Long> images = new HashMap<>();
+    /** When each image is here, by name. */
+    final Map<String, Long> images = new HashMap<>();
+    volatile double fetchGbPerS = 2;
     private final Set<String> results = new HashSet<>();
     private final long upAt;
     private boolean gone = false;
@@ -235,7 +237,6 @@
         Task t = new Task();
         t.drop = drop;
         t.attempt = attempt;
-        t.launchedAt = World.ms();
         t.stage = "pulling";
         Map<String, Object> spec = world.spec(drop);
         boolean same = tasks.values().stream().anyMatch(o -> o.drop.equals(drop) && !o.stage.equals("ended"));
@@ -260,7 +261,7 @@
             refuse(t, "no_room");
         } else {
             String image = (String) spec.get("seed");
-            images.putIfAbsent(image, World.ms() + (long) ((Double) spec.get("sizeGb") / 2.0 * 1000));
+            images.putIfAbsent(image, World.ms() + (long) ((Double) spec.get("sizeGb") / fetchGbPerS * 1000));
             t.imageAt = images.get(image);
             step(World.ms());
         }
@@ -276,12 +277,20 @@
         leave(t, cause);
         t.cause = cause;
         changed = true;
+        // A fetch that no task waits for any more is given up.
+        String image = (String) world.spec(t.drop).get("seed");
+        boolean needed = tasks.values().stream().anyMatch(o -> !o.stage.equals("ended") && world.spec(o.drop).get("seed").equals(image));
+        if (!needed && images.getOrDefault(image, 0L) > World.ms()) {
+            images.remove(image);
+            world.log(name + " gives up the fetch of " + image);
+        }
     }
 
     /** Moves the lease and the tasks on to [now]. */
     private void step(long now) {
         if (now - leaseFrom > world.leaseMs) {
             for (Task t : tasks.values()) leave(t, "lease expired");
+            images.values().removeIf(at -> at > now);
             if (!tasks.isEmpty()) world.log(name + ": lease expired");
             tasks.clear();
             flight++;
@@ -296,6 +305,7 @@
             if (!t.counted) {
                 t.counted = true;
                 t.stage = gang ? "waiting" : "running";
+                t.waitsSince = now;
                 world.entered(this, t);
                 changed = true;
                 if (world.results.contains(t.drop)) {
@@ -312,7 +322,7 @@
                 if (world.gangComplete(t)) {
                     t.stage = "running";
                     changed = true;
-                } else if (now - t.launchedAt >= world.gangWaitMs) {
+                } else if (now - t.waitsSince >= world.gangWaitMs) {
                     end(t, "incomplete");
                     continue;
                 }
