--- a/review/standins-2/State.java
+++ b/review/standins-2/State.java
@@ -41,12 +41,14 @@
     volatile java.util.function.BiPredicate<Integer, Map<String, Object>> loseAnswer = (node, body) -> false;
     /** Called with each transaction; true: it is carried out 2 to 12 s later, and not answered. */
     volatile java.util.function.BiPredicate<Integer, Map<String, Object>> delayAll = (node, body) -> false;
+    volatile java.util.function.IntSupplier lateMs;
     volatile int latencyMs = 2;
     long badRequests = 0;
     final List<Http.Server> servers = new ArrayList<>();
 
     State(World world, int nodes, double rps, double writeRps, double valueKb, int txnOps) throws Exception {
         this.world = world;
+        lateMs = () -> 2000 + world.random.nextInt(10_000);
         this.rps = rps;
         this.writeRps = writeRps;
         this.valueBytes = (int) (valueKb * 1024);
@@ -128,7 +130,8 @@
         if (request.path().equals("/commit")) {
             Map<String, Object> body = Mp.decodeMap(request.body());
             if (body.get("apply") != null && delayAll.test(node, body)) {
-                long delay = 2000 + world.random.nextInt(10_000);
+                long delay = lateMs.getAsInt();
+                world.log("state service: holds up for " + delay + " ms, from controller " + node + ": " + Mp.json(body.get("apply")));
                 Thread.sleep(delay);
                 Http.Answer late = commit(node, body);
                 world.log("state service: carried out " + delay + " ms late, for controller " + node + ": " + late.status() + " " + Mp.json(body.get("apply")));
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -195,6 +195,9 @@
                 if (Mp.num(body.get("crest")) > crest) changed = true;
                 crest = Mp.num(body.get("crest"));
                 leaseFrom = sentAt;
+                for (Map<String, Object> call : Mp.maps(body.get("calls"))) {
+                    if (call.get("call").equals("launch")) world.launched((String) call.get("drop"), sentAt);
+                }
                 execute(Mp.maps(body.get("calls")), "answer");
             }
             return true;
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -420,6 +420,13 @@
         log("VIOLATION " + text);
     }
 
+    /** By task: when the newest report was sent whose answer started it. */
+    final Map<String, Long> launchedByReportOf = new HashMap<>();
+
+    synchronized void launched(String drop, long reportSentAt) {
+        launchedByReportOf.merge(drop, reportSentAt, Math::max);
+    }
+
     synchronized Map<String, Long> placesOf(String drop) {
         return new HashMap<>(onMachines.getOrDefault(drop, Map.of()));
     }
