--- a/src/main/kotlin/dewwing/control/api/JobReader.kt
+++ b/src/main/kotlin/dewwing/control/api/JobReader.kt
@@ -5,6 +5,7 @@
 import dewwing.control.core.TokenBucket
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
+import dewwing.control.http.take
 import dewwing.control.state.CompareResult
 import dewwing.control.state.StateClient
 import dewwing.control.state.StateUnavailableException
@@ -17,7 +18,6 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
 
@@ -210,11 +210,7 @@
         return snapshot
     }
 
-    private suspend fun awaitRequestTokens() {
-        while (!requestTokens.tryTake(clock(), rateLimit.tokensPerRequest())) {
-            delay(requestTokens.untilAvailable(clock(), rateLimit.tokensPerRequest()).ms.coerceAtLeast(1))
-        }
-    }
+    private suspend fun awaitRequestTokens() = requestTokens.take(clock, rateLimit.tokensPerRequest())
 
     companion object {
         private val MAX_WAIT = Duration(300)
--- a/src/main/kotlin/dewwing/control/cloud/CloudClient.kt
+++ b/src/main/kotlin/dewwing/control/cloud/CloudClient.kt
@@ -4,13 +4,13 @@
 import dewwing.control.core.TokenBucket
 import dewwing.control.http.HttpClient
 import dewwing.control.http.HttpClientResponse
+import dewwing.control.http.take
 import dewwing.protocol.Instant
 import dewwing.protocol.ListedMachine
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
 import dewwing.protocol.Pack
 import dewwing.protocol.Wire
-import kotlinx.coroutines.delay
 import java.io.IOException
 
 /** A request to the cloud failed: it was not carried out, or its outcome is unknown. */
@@ -68,11 +68,7 @@
         target: String,
         body: ByteArray?,
     ): HttpClientResponse {
-        while (true) {
-            val now = clock()
-            if (requestBudget.tryTake(now, 1.0)) break
-            delay(requestBudget.untilAvailable(now, 1.0).ms.coerceAtLeast(1))
-        }
+        requestBudget.take(clock)
         try {
             val result = http.call(method, target, body, CALL_TIMEOUT_MS)
             onOutcome(name, result.status.toString())
--- a/src/main/kotlin/dewwing/control/state/StateClient.kt
+++ b/src/main/kotlin/dewwing/control/state/StateClient.kt
@@ -4,6 +4,7 @@
 import dewwing.control.core.TokenBucket
 import dewwing.control.http.HttpClient
 import dewwing.control.http.HttpClientResponse
+import dewwing.control.http.take
 import dewwing.protocol.Duration
 import dewwing.protocol.Instant
 import dewwing.protocol.MalformedException
@@ -11,7 +12,6 @@
 import dewwing.protocol.Revision
 import dewwing.protocol.StateLeaseId
 import dewwing.protocol.Wire
-import kotlinx.coroutines.delay
 import java.io.IOException
 import java.net.URLEncoder
 
@@ -171,7 +171,7 @@
         since: Revision,
         maxWait: Duration,
     ): WatchResult {
-        requestBudget.take()
+        requestBudget.take(clock)
         val target = "${Wire.WATCH}?under=${escape(prefix)}&since=${since.value}&holdMs=${maxWait.ms}"
         val result =
             try {
@@ -206,7 +206,7 @@
         body: ByteArray?,
         timeoutMs: Long,
     ): HttpClientResponse {
-        requestBudget.take()
+        requestBudget.take(clock)
         val result =
             try {
                 http.call(method, target, body, timeoutMs)
@@ -250,14 +250,6 @@
             throw StateUnavailableException("$name: malformed answer from the state service: ${e.message}", knownNotApplied = false)
         }
 
-    private suspend fun TokenBucket.take() {
-        while (true) {
-            val now = clock()
-            if (tryTake(now, 1.0)) return
-            delay(untilAvailable(now, 1.0).ms.coerceAtLeast(1))
-        }
-    }
-
     private fun escape(text: String): String = URLEncoder.encode(text, Charsets.UTF_8).replace("%2F", "/")
 
     companion object {
