A task is launched only on proof, newer than the report, that its job is not cancelled

Cause: a launch was handed out on the age of what the leader knew: an answer of the state service of the last 1.2 s, whatever it was about, and a read of the jobs of the last 8 s. Both can be older than the report that is answered, and a confirmation can lie between. A cut makes the gap longer, but it needs none: with a watch of the jobs that is late and all else answered, starts went out until a heartbeat told of the cancellation, or for 8 s.

The simulation with SKIP_LAUNCH_CHECK (the program as it was) breaks started_cancelled.

Change: a report whose answer is to launch tasks waits for a transaction that compares the revisions of their jobs, requested after the report arrived; one request serves all reports that wait when it is sent (as in etcd's ReadIndex). The transaction of a placement is conditional on the job too, and counts as proof if it was composed after the report arrived. No answer, no launch. The order is kept by numbers of events, not by times.

Why it works: whoever confirms a cancellation has read or written it in the state service before. A comparison that is evaluated after the report arrived therefore sees every cancellation that was confirmed before the report was sent.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -95,6 +95,9 @@
     /** This controller's share of the state service's request rate. */
     private val requestsPerS = settings.stateLimits.requestsPerS * STATE_REQUEST_SHARE / controllerCount
 
+    /** Shared by all local leaders. */
+    private val launchCheckBudget = TokenBucket(requestsPerS * LAUNCH_CHECK_SHARE, maxOf(1.0, requestsPerS * LAUNCH_CHECK_SHARE))
+
     private val state =
         StateClient(
             http = HttpClient(selector, settings.stateEndpoint, maxIdleConnections = 8),
@@ -157,7 +160,7 @@
                 changeRateLimiter = SharedRateLimiter(userWritesPerS, maxOf(USER_WRITE_BURST, userWritesPerS)),
                 queryRateLimit =
                     QueryRateLimit(requestsPerS, requestsPerS) { if (localLeaders.isEmpty()) QUERY_COST else QUERY_COST_LEADING },
-                maxConditions = settings.stateLimits.opsPerCommit * Wire.CONDITIONS_PER_OP,
+                maxConditions = settings.stateLimits.maxConditions,
                 maxValueBytes = settings.stateLimits.valueBytes - VALUE_RESERVE_BYTES,
             )
         metrics.registerGauge("dewwing.term", "Highest term known") { elections.maxOf { it.leadership.highestTerm.value } }
@@ -285,23 +288,17 @@
         if (!leadership.knowsCancellations(now())) return redirect(election, TurnAwayReason.CANCELLATIONS_UNKNOWN)
         scheduler.onReport(report, now())
         if (authority == Authority.FULL) {
-            leader.awaitLaunchDecision(scheduler, report.machine)
+            leader.prepareLaunches(scheduler, report.machine)
             authority = leadership.authority(now(), state.failing)
             if (election.localLeader !== leader) return redirect(election, TurnAwayReason.NOT_LEADING)
             if (authority == Authority.NONE) return redirect(election, TurnAwayReason.NO_AUTHORITY)
             if (!leadership.knowsCancellations(now())) return redirect(election, TurnAwayReason.CANCELLATIONS_UNKNOWN)
         }
-        val launchAllowed = authority == Authority.FULL && knowsRecentCancellations(leadership)
-        return HttpResponse.of(200, Wire.reportAnswer(leader.term, scheduler.takeCommands(report, now(), launchAllowed)))
+        val launchAllowed = authority == Authority.FULL && leadership.mayLaunchTasks(now())
+        val commands = scheduler.takeCommands(report, now(), launchAllowed)
+        return HttpResponse.of(200, Wire.reportAnswer(leader.term, commands))
     }
 
-    /**
-     * Whether a recent cancellation by another controller would be known here. Otherwise a launch that was logged before its
-     * job was cancelled must not be handed out any more.
-     */
-    private fun knowsRecentCancellations(leadership: Leadership) =
-        now() - state.lastAnsweredAt <= MAX_STATE_ANSWER_AGE && leadership.mayLaunchTasks(now())
-
     private fun redirect(
         election: LeaderElection,
         reason: TurnAwayReason,
@@ -664,6 +661,7 @@
         coreSettings = coreSettings,
         options = options,
         metrics = metrics,
+        launchCheckBudget = launchCheckBudget,
         clock = this,
         knownMachineTypes = { knownMachineTypes },
         onMachineTypes = ::onMachineTypes,
@@ -763,6 +761,9 @@
     companion object {
         private const val STATE_REQUEST_SHARE = 0.9
 
+        /** Part of this controller's requests to the state service that checks of launches may take. */
+        private const val LAUNCH_CHECK_SHARE = 0.2
+
         /**
          * Requests that one query counts as. Above 1, it leaves part of the request rate for elections and, on the leader, for
          * renewals of its state lease and its writes.
@@ -786,8 +787,6 @@
         private val COUNTS_BACK_OFF = Duration(1_000)
         private const val MACHINE_TYPES_RETRY_MS = 1_000L
 
-        /** The state lease is renewed more often than this, so a longer gap means that the state service does not answer. */
-        private val MAX_STATE_ANSWER_AGE = Duration(1_200)
         private const val TERM_READ_TIMEOUT_MS = 1_000L
         private const val ELECTION_POLL_INTERVAL_MS = 400L
         private const val SHARDING_POLL_INTERVAL_MS = 500L
--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -6,6 +6,7 @@
 import dewwing.control.core.Effect
 import dewwing.control.core.Scheduler
 import dewwing.control.core.StateChange
+import dewwing.control.core.TokenBucket
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
@@ -37,7 +38,6 @@
 import dewwing.protocol.StateLeaseId
 import dewwing.protocol.Term
 import dewwing.protocol.Wire
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -63,6 +63,8 @@
     private val coreSettings: CoreSettings,
     private val options: ControllerOptions,
     private val metrics: Metrics,
+    /** Limits the requests that check launches. */
+    private val launchCheckBudget: TokenBucket,
     private val clock: ApiHost,
     private val knownMachineTypes: () -> List<MachineType>,
     private val onMachineTypes: (List<MachineType>) -> Unit,
@@ -133,33 +135,34 @@
         roundRequests.trySend(Unit)
     }
 
-    /** Reports whose answers are delayed, by machine. */
-    private val delayedReports = LinkedHashMap<MachineId, CompletableDeferred<Unit>>()
+    /** Reports that wait for placements. */
+    private val delayedReports = DelayedReports()
+    private var launchVerifier: LaunchVerifier? = null
+
+    /** Waits until the tasks that are to be launched in the answer to a report of [machine] are logged, and their jobs checked. */
+    suspend fun prepareLaunches(
+        scheduler: Scheduler,
+        machine: MachineId,
+    ) {
+        awaitLaunchDecision(scheduler, machine)
+        launchVerifier?.verify(machine)
+    }
 
     /**
      * Requests a scheduling round after a report of [machine] and waits until the launches that it causes are logged, so
      * that the answer to the report can contain them. Waits only while such a launch may still become ready, and at most
      * [MAX_REPORT_WAIT_MS], a small part of the worker's answer timeout.
      */
-    suspend fun awaitLaunchDecision(
+    private suspend fun awaitLaunchDecision(
         scheduler: Scheduler,
         machine: MachineId,
     ) {
         requestRound()
-        if (!scheduler.mayLaunchSoon(machine)) return
-        val decided = CompletableDeferred<Unit>()
-        delayedReports.put(machine, decided)?.complete(Unit)
-        try {
-            withTimeoutOrNull(MAX_REPORT_WAIT_MS) { decided.await() }
-        } finally {
-            delayedReports.remove(machine, decided)
-        }
+        if (scheduler.mayLaunchSoon(machine)) delayedReports.await(machine, MAX_REPORT_WAIT_MS)
     }
 
     /** Checks all delayed reports here, since resuming each of them to check for itself would cost more than the check. */
-    private fun resumeDelayedReports(scheduler: Scheduler) {
-        for ((machine, decided) in delayedReports) if (!scheduler.mayLaunchSoon(machine)) decided.complete(Unit)
-    }
+    private fun resumeDelayedReports(scheduler: Scheduler) = delayedReports.resumeIf { !scheduler.mayLaunchSoon(it) }
 
     /** Returns when the term has ended. */
     suspend fun run(): Unit =
@@ -259,6 +262,7 @@
             if (hasPeers) launch { detectWorkerSilence() }
             launch { watchJobs(since) }
             launch { readJobsOnRequest(since) }
+            launchVerifier?.let { launch { it.run() } }
             launch { pollCloud() }
             runRounds(this)
         }
@@ -298,6 +302,13 @@
             restored.onCancelled(cancellation.job, cancellation.revision, clock.now())
         }
         scheduler = restored
+        launchVerifier =
+            LaunchVerifier(restored, state, guards, launchCheckBudget, coreSettings.state.maxConditions, clock::now, ::onRecordsChanged)
+    }
+
+    private suspend fun onRecordsChanged(keys: List<String>) {
+        if (guards.any { (key, _) -> key in keys }) endTerm("a check of launches failed on the condition for the term")
+        rereadJobs(keys)
     }
 
     /** A single leader also reads the records of shards if sharding has been in use at some time. */
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -16,7 +16,9 @@
 import dewwing.control.core.job.Attempt
 import dewwing.control.core.job.AttemptPhase
 import dewwing.control.core.job.ClassObjectives
+import dewwing.control.core.job.EventNumber
 import dewwing.control.core.job.Job
+import dewwing.control.core.job.JobRevisionCheck
 import dewwing.control.core.leadership.LeadershipTimes
 import dewwing.control.core.placement.MachineIndex
 import dewwing.control.core.placement.Placement
@@ -105,6 +107,9 @@
     private val splitPlacements = ArrayList<SplitPlacement>()
     private val gcQueue = ArrayDeque<Pair<Instant, String>>()
     private var pendingBatch: WriteBatch? = null
+
+    /** The composition of [pendingBatch], which is sent later than that. */
+    private var pendingBatchEvent = EventNumber.NONE
     private val effects = ArrayList<Effect>()
     private val classObjectives = ClassObjectives(settings.objectives)
     private val fleet = Fleet(settings, term, machines, types, quota, workCounter, classObjectives, startedAt, scope.keys)
@@ -382,6 +387,7 @@
         machine.endpoint = Endpoint.parse(report.endpoint)
         machine.lastAnsweredAt = now
         machine.lastReportAt = now
+        machine.lastReportEvent = nextEvent()
         machine.up = true
         if (!sameSession) machine.images.clear()
         // A report with the current term was sent when the worker knew that term, so it rejects answers of earlier leaders.
@@ -455,7 +461,41 @@
             .any { !it.pending.isEmpty && machine.free.canFit(it.spec.need) && PlacementConstraints.allowsMachine(it, machine) }
     }
 
-    /** Returns the answer to [report]; empty if a newer report of the machine has arrived since, or if [report] itself was late. */
+    private var lastEvent = EventNumber.NONE
+
+    private fun nextEvent(): EventNumber = lastEvent.next().also { lastEvent = it }
+
+    /** Whether the state service has shown the attempt's job to be open since the newest report of its machine arrived. */
+    private fun isShownOpen(attempt: Attempt) = attempt.job.openAsOf > attempt.machine.lastReportEvent
+
+    /**
+     * Jobs that are to be checked before [takeCommands] can launch their tasks on the machine [id]. The job may have been
+     * cancelled since its record was last read here, and its user may have been told so before the machine sent its report.
+     */
+    fun jobsToCheckBeforeLaunch(id: MachineId): Set<JobRef> {
+        val machine = machines[id] ?: return emptySet()
+        if (!machine.schedulable) return emptySet()
+        return machine.attempts.values
+            .filter { it.phase == AttemptPhase.READY && it.job.isOpen && !isShownOpen(it) }
+            .mapTo(LinkedHashSet()) { it.job.ref }
+    }
+
+    /** A check of the open ones of [refs], to be requested from the state service now. */
+    fun startRevisionCheck(refs: Collection<JobRef>): JobRevisionCheck {
+        val revisions = LinkedHashMap<JobRef, Revision>()
+        for (ref in refs) jobs[ref]?.let { revisions[ref] = it.revision }
+        return JobRevisionCheck(nextEvent(), revisions)
+    }
+
+    /** The state service has answered that no record compared by [check] has changed. */
+    fun onRevisionsUnchanged(check: JobRevisionCheck) {
+        for (ref in check.revisions.keys) jobs[ref]?.confirmOpen(check.startedAt)
+    }
+
+    /**
+     * Returns the answer to [report]; empty if a newer report of the machine has arrived since, or if [report] itself was late.
+     * Tasks are launched only if the state service has shown their jobs to be open after the report arrived.
+     */
     fun takeCommands(
         report: Report,
         now: Instant,
@@ -598,6 +638,7 @@
                 removeAttempt(attempt, now)
                 continue
             }
+            if (!isShownOpen(attempt)) continue
             if (commands.size >= MAX_COMMANDS_PER_MESSAGE) return
             attempt.phase = AttemptPhase.SENT
             attempt.launchReport = report.position
@@ -871,6 +912,7 @@
         // The claim written with a rental is not part of the limit of the batch, so the batch may exceed the available budget.
         writeBudget.tryTake(now, minOf(batch.changeCount.toDouble(), writeBudget.available(now)))
         pendingBatch = batch
+        pendingBatchEvent = nextEvent()
         effects.add(Effect.Write(batch.toChange()))
     }
 
@@ -1422,9 +1464,15 @@
     ) {
         val finishedBatch = pendingBatch ?: return
         pendingBatch = null
+        confirmOpenJobs(finishedBatch)
         finishedBatch.notifyApplied(revision)
     }
 
+    /** The conditions on the jobs' records held when [batch] was applied, so no job among them had been cancelled. */
+    private fun confirmOpenJobs(batch: WriteBatch) {
+        for (key in batch.conditionKeys) Keys.parseJobKey(key)?.let { jobs[it] }?.confirmOpen(pendingBatchEvent)
+    }
+
     /**
      * The pending write was refused because the conditions on the [failed] keys did not hold. Returns false if this term is
      * over. A failed key that only this write can have created means that an earlier, unanswered copy of it was applied.
--- a/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Machine.kt
@@ -1,6 +1,7 @@
 package dewwing.control.core.fleet
 
 import dewwing.control.core.job.Attempt
+import dewwing.control.core.job.EventNumber
 import dewwing.control.core.job.Job
 import dewwing.control.core.placement.Zoned
 import dewwing.protocol.Endpoint
@@ -37,6 +38,9 @@
     /** When its newest report arrived. */
     var lastReportAt: Instant = Instant.DISTANT_PAST
 
+    /** The arrival of its newest report, in the order of the scheduler's events. */
+    var lastReportEvent = EventNumber.NONE
+
     /** It reports to this leader and its lease has not expired. */
     var up = false
 
--- a/src/main/kotlin/dewwing/control/core/intent/WriteBatch.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/WriteBatch.kt
@@ -37,6 +37,9 @@
 
     fun hasCondition(key: String): Boolean = key in conditions
 
+    /** Keys whose revisions are conditions of the transaction. */
+    val conditionKeys: Set<String> get() = conditions.keys
+
     /** Adds the condition that [key] is at [revision]; [Revision.ABSENT] means that it does not exist. */
     fun requireRevision(
         key: String,
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -81,6 +81,14 @@
     /** Set once the state service has recorded the job's final stage; never reset. */
     var finalStage: JobStage? = null
 
+    /** The state service has shown that the job was still open at this event. */
+    var openAsOf = EventNumber.NONE
+        private set
+
+    fun confirmOpen(asOf: EventNumber) {
+        openAsOf = maxOf(openAsOf, asOf)
+    }
+
     val done = BitSet(spec.tasks)
 
     /** Finished tasks that are recorded in the log; a worker may reap only these. */
--- a/src/main/kotlin/dewwing/protocol/Settings.kt
+++ b/src/main/kotlin/dewwing/protocol/Settings.kt
@@ -87,7 +87,10 @@
     val writesPerS: Double,
     val valueBytes: Int,
     val opsPerCommit: Int,
-)
+) {
+    /** Maximum number of conditions of one transaction. */
+    val maxConditions: Int get() = opsPerCommit * Wire.CONDITIONS_PER_OP
+}
 
 /** Limits of the cloud's API. */
 data class CloudLimits(
--- a/src/test/kotlin/dewwing/cluster/CancellationDuringRestoreTest.kt
+++ b/src/test/kotlin/dewwing/cluster/CancellationDuringRestoreTest.kt
@@ -81,7 +81,7 @@
                 cluster.start()
                 val job = cluster.gang(4, GANG_SECONDS, cores = 8.0)
                 val keys = keysFor(job)
-                if (options != null) cluster.awaitCondition("every shard has an owner") { isOwned(cluster, options) }
+                if (options != null) cluster.awaitCondition("every shard has an owner") { cluster.isOwned(options) }
                 cluster.submit(job)
                 cluster.awaitCondition("all tasks run") { cluster.onFakesThread { cluster.taskTracker.runningTaskCount == job.tasks } }
                 val restore =
@@ -103,11 +103,6 @@
             }
         }
 
-    private suspend fun isOwned(
-        cluster: LoopbackCluster,
-        options: SharingOptions,
-    ) = cluster.shardOwners().let { it.size == options.shards && null !in it }
-
     private val singleLeader = LeadershipKeys(Keys.HOLDER, Keys.READY, Keys.LOGS)
 
     /** Guards against tasks of a cancelled job that run through an outage: the leader that told the user forgot it (review/2). */
--- a/src/test/kotlin/dewwing/cluster/FakeStateService.kt
+++ b/src/test/kotlin/dewwing/cluster/FakeStateService.kt
@@ -182,6 +182,16 @@
         return HttpResponse.of(200, mapOf("tide" to newRevision))
     }
 
+    /** Changes the value at [key], as a controller does that the others have no contact with. */
+    fun replace(
+        key: String,
+        value: Any?,
+    ) {
+        val newRevision = revision.value + 1
+        put(key, value, newRevision, lease = null)
+        revision.value = newRevision
+    }
+
     fun removeUnder(prefix: String) {
         val newRevision = revision.value + 1
         keysUnder(prefix).forEach { remove(it, newRevision) }
--- a/src/test/kotlin/dewwing/cluster/FakeWorker.kt
+++ b/src/test/kotlin/dewwing/cluster/FakeWorker.kt
@@ -126,6 +126,7 @@
             return
         }
         val sentMs = nowMs()
+        val number = taskTracker.onReportSent()
         val response =
             try {
                 clients.getValue(currentController).call("POST", Wire.REPORT, Pack.encode(reportBody()), RESPONSE_TIMEOUT_MS)
@@ -134,7 +135,7 @@
                 return
             }
         if (response.status == 200) {
-            applyResponse(Pack.decodeMap(response.body), sentMs)
+            applyResponse(Pack.decodeMap(response.body), sentMs, number)
             return
         }
         val redirectTarget = if (response.status == 421) Pack.decodeMap(response.body).textOrNull("nest") else null
@@ -169,6 +170,7 @@
     private fun applyResponse(
         response: Fields,
         sentMs: Long,
+        reportNumber: Long,
     ) {
         val responseTerm = response.count("crest")
         if (responseTerm < term || nowMs() - sentMs > RESPONSE_TIMEOUT_MS) return
@@ -181,10 +183,13 @@
         term = responseTerm
         leaseStartMs = sentMs
         taskTracker.onCommands(machine.name, term)
-        for (command in response.mapList("calls")) executeCommand(command)
+        for (command in response.mapList("calls")) executeCommand(command, reportNumber)
     }
 
-    private fun executeCommand(command: Fields) {
+    private fun executeCommand(
+        command: Fields,
+        reportNumber: Long,
+    ) {
         val ref = TaskRef.parse(command.text("drop")) ?: return
         val attempt = command.count("try")
         val existing = tasks[ref]
@@ -193,7 +198,7 @@
                 if (existing != null || taskTracker.spec(ref.job) == null) return
                 tasks[ref] = Task(ref, attempt, nowMs())
                 hasRunTask = true
-                taskTracker.onTaskStarted(ref, attempt, machine.name)
+                taskTracker.onTaskStarted(ref, attempt, machine.name, reportNumber)
             }
 
             "kill" -> {
--- a/src/test/kotlin/dewwing/cluster/LoopbackCluster.kt
+++ b/src/test/kotlin/dewwing/cluster/LoopbackCluster.kt
@@ -166,6 +166,9 @@
             List(count) { stateService.value("shards/holder/%03d".format(it))?.text("node") }
         }
 
+    /** Whether every shard has an owner. */
+    suspend fun isOwned(options: SharingOptions): Boolean = shardOwners().let { it.size == options.shards && null !in it }
+
     /** Highest shard term so far: each election of a shard's owner takes the next one. */
     suspend fun highestTerm(): Long = onFakesThread { stateService.value("shards/counter")?.count("n") ?: 0 }
 
@@ -239,10 +242,14 @@
         }
     }
 
+    /** From the confirmation on, a start of one of the job's tasks in answer to a later report is a violation. */
     suspend fun cancel(
         spec: JobSpec,
         nodeIndex: Int,
-    ) = awaitCondition("${spec.ref} is cancelled") { call(nodeIndex, "POST", "${Wire.JOBS}/${spec.ref}/cancel", EMPTY_BODY)?.status == 200 }
+    ) {
+        awaitCondition("${spec.ref} is cancelled") { call(nodeIndex, "POST", "${Wire.JOBS}/${spec.ref}/cancel", EMPTY_BODY)?.status == 200 }
+        onFakesThread { taskTracker.onCancellationConfirmed(spec.ref) }
+    }
 
     suspend fun stageOf(
         spec: JobSpec,
--- a/src/test/kotlin/dewwing/cluster/TaskTracker.kt
+++ b/src/test/kotlin/dewwing/cluster/TaskTracker.kt
@@ -36,13 +36,32 @@
         cancelledJobs.add(job)
     }
 
+    private var reportsSent = 0L
+
+    /** How many reports had been sent when a user was told of the cancellation, by job. */
+    private val reportsSentBeforeCancellation = HashMap<JobRef, Long>()
+
+    /** A worker sends a report; returns the number of the report. */
+    fun onReportSent(): Long = ++reportsSent
+
+    /** A user has been told that [job] is cancelled: starting its tasks in answer to a later report is a violation. */
+    fun onCancellationConfirmed(job: JobRef) {
+        reportsSentBeforeCancellation.putIfAbsent(job, reportsSent)
+    }
+
+    /** [report] is the number of the report whose answer started the task. */
     fun onTaskStarted(
         task: TaskRef,
         attempt: Long,
         machine: String,
+        report: Long,
     ) {
         val spec = specs.getValue(task.job)
         if (task.job in cancelledJobs) violations.add("$task started on $machine although its job is cancelled")
+        val reportsBeforeCancellation = reportsSentBeforeCancellation[task.job]
+        if (reportsBeforeCancellation != null && report > reportsBeforeCancellation) {
+            violations.add("$task started on $machine in answer to a report sent after the cancellation was confirmed")
+        }
         val machines = machinesByTask.getOrPut(task) { LinkedHashMap() }
         if (machines.isNotEmpty()) violations.add("$task started on $machine while it runs on ${machines.keys}")
         machines[machine] = attempt
--- a/src/test/kotlin/dewwing/control/core/Fixtures.kt
+++ b/src/test/kotlin/dewwing/control/core/Fixtures.kt
@@ -1,8 +1,11 @@
 package dewwing.control.core
 
 import dewwing.protocol.CloudLimits
+import dewwing.protocol.Command
 import dewwing.protocol.Duration
+import dewwing.protocol.Instant
 import dewwing.protocol.Objective
+import dewwing.protocol.Report
 import dewwing.protocol.StateLimits
 import dewwing.protocol.Team
 import dewwing.protocol.WorkerTimes
@@ -22,3 +25,12 @@
     CloudLimits(4.0, Duration(3_000)),
     tunables,
 )
+
+/** The answer to [report], after a check of the jobs to launch which finds none of them changed. */
+internal fun Scheduler.answerChecked(
+    report: Report,
+    now: Instant,
+): List<Command> {
+    onRevisionsUnchanged(startRevisionCheck(jobsToCheckBeforeLaunch(report.machine)))
+    return takeCommands(report, now, launchAllowed = true)
+}
--- a/src/test/kotlin/dewwing/control/core/GrowthTest.kt
+++ b/src/test/kotlin/dewwing/control/core/GrowthTest.kt
@@ -88,7 +88,7 @@
                 )
             scheduler.onReport(report, Instant(nowMs))
             scheduler.mayLaunchSoon(report.machine)
-            for (command in scheduler.takeCommands(report, Instant(nowMs), true)) {
+            for (command in scheduler.answerChecked(report, Instant(nowMs))) {
                 if (command is Command.Launch) {
                     runningTasks[machine][command.task] =
                         ReportedTask(command.task, command.attempt, TaskStage.RUNNING, null, false)
--- a/src/test/kotlin/dewwing/control/core/MemoryTest.kt
+++ b/src/test/kotlin/dewwing/control/core/MemoryTest.kt
@@ -69,7 +69,7 @@
                         tasks,
                     )
                 scheduler.onReport(report, Instant(nowMs))
-                for (command in scheduler.takeCommands(report, Instant(nowMs), launchAllowed = true)) {
+                for (command in scheduler.answerChecked(report, Instant(nowMs))) {
                     if (command is Command.Launch) {
                         runningTasks[machine][command.task] =
                             ReportedTask(command.task, command.attempt, TaskStage.RUNNING, null, false)
--- a/src/test/kotlin/dewwing/control/core/SchedulerHarness.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerHarness.kt
@@ -137,7 +137,7 @@
         val tasks = worker.runningTasks.values.toList()
         val report = Report(MachineId(id), "10.0.0.1:1", worker.type, worker.zone, worker.spot, position, TERM, null, tasks)
         scheduler.onReport(report, Instant(nowMs))
-        for (command in scheduler.takeCommands(report, Instant(nowMs), launchAllowed = true)) {
+        for (command in scheduler.answerChecked(report, Instant(nowMs))) {
             when (command) {
                 is Command.Launch -> {
                     worker.runningTasks[command.task] = ReportedTask(command.task, command.attempt, TaskStage.RUNNING, null, false)
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -95,7 +95,7 @@
     ): List<Command> {
         val report = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, ReportPosition(session, ++seq), highestTerm, null, tasks.toList())
         scheduler.onReport(report, Instant(nowMs))
-        return scheduler.takeCommands(report, Instant(nowMs), launchAllowed = true)
+        return scheduler.answerChecked(report, Instant(nowMs))
     }
 
     /** Runs a scheduling round whose writes are applied immediately. */
@@ -157,7 +157,7 @@
         scheduler.onReport(first, Instant(nowMs))
         assertTrue(scheduler.mayLaunchSoon(first.machine))
         runRound()
-        val launch = scheduler.takeCommands(first, Instant(nowMs), launchAllowed = true).filterIsInstance<Command.Launch>().single()
+        val launch = scheduler.answerChecked(first, Instant(nowMs)).filterIsInstance<Command.Launch>().single()
         assertEquals(JobRef("job-1"), launch.task.job)
     }
 
@@ -233,7 +233,7 @@
         report("m-1", runningTask(1))
         val late = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, ReportPosition(1, 1), term, null, emptyList())
         scheduler.onReport(late, Instant(nowMs))
-        assertTrue(scheduler.takeCommands(late, Instant(nowMs), true).isEmpty())
+        assertTrue(scheduler.answerChecked(late, Instant(nowMs)).isEmpty())
         assertEquals(1, scheduler.jobCounts(JobRef("job-1"))?.running)
     }
 
@@ -379,7 +379,7 @@
                 val effects = teamScheduler.runRound(Instant(nowMs)) { true }
                 if (effects.any { it is Effect.Write }) teamScheduler.onWriteApplied(Revision(1_000 + nowMs), Instant(nowMs))
                 killed += effects.filterIsInstance<Effect.Kill>().flatMap { it.kills }.map { it.task }
-                return teamScheduler.takeCommands(report, Instant(nowMs), launchAllowed = true)
+                return teamScheduler.answerChecked(report, Instant(nowMs))
             }
             submit(otherJob)
             reportAndRunRound()
@@ -462,7 +462,7 @@
     ): List<Command> {
         val report = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, ReportPosition(session, seq), term, null, tasks.toList())
         scheduler.onReport(report, Instant(nowMs))
-        return scheduler.takeCommands(report, Instant(nowMs), launchAllowed = true)
+        return scheduler.answerChecked(report, Instant(nowMs))
     }
 
     private fun logKeysIn(effects: List<Effect>) =
@@ -521,7 +521,7 @@
         val newest = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, ReportPosition(1, ++seq), term, null, emptyList())
         scheduler.onReport(newest, Instant(nowMs))
         assertTrue(reportAt("m-1", 1, 1).isEmpty())
-        val launches = scheduler.takeCommands(newest, Instant(nowMs), launchAllowed = true)
+        val launches = scheduler.answerChecked(newest, Instant(nowMs))
         assertEquals(listOf("job-1"), launches.map { it.task.job.value })
         report("m-1", runningTask(1))
         // Only duplicates arrive from here on: the lease expires on time, and the task starts on another machine.
@@ -549,7 +549,7 @@
         submit(jobSpec(1, "c", Urgency.STANDARD, JobShape.ARRAY, halfMachine))
         val report = Report(MachineId("m-1"), "10.0.0.1:1", "k", "a", false, ReportPosition(3, 7), Term(4), null, listOf(runningTask(9)))
         scheduler.onReport(report, Instant(nowMs))
-        assertTrue(scheduler.takeCommands(report, Instant(nowMs), launchAllowed = true).none { it is Command.Launch })
+        assertTrue(scheduler.answerChecked(report, Instant(nowMs)).none { it is Command.Launch })
         assertEquals(emptyList<String>(), logKeysIn(runRound()))
         assertEquals(null, scheduler.jobCounts(JobRef("job-9")))
     }
@@ -815,7 +815,7 @@
         ): List<Command> {
             val report = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, ReportPosition(1, sequence), Term(6), null, tasks.toList())
             successor.onReport(report, Instant(nowMs))
-            return successor.takeCommands(report, Instant(nowMs), launchAllowed = true)
+            return successor.answerChecked(report, Instant(nowMs))
         }
 
         fun newLogKeys(): List<String> {
--- a/src/test/kotlin/dewwing/control/core/SplitPlacementTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SplitPlacementTest.kt
@@ -103,7 +103,7 @@
                     emptyList(),
                 )
             scheduler.onReport(report, now())
-            for (command in scheduler.takeCommands(report, now(), launchAllowed = true)) {
+            for (command in scheduler.answerChecked(report, now())) {
                 if (command is Command.Launch) launched[command.task] = command.attempt.value
             }
         }
--- a/src/test/kotlin/dewwing/control/core/WorkerTimesTest.kt
+++ b/src/test/kotlin/dewwing/control/core/WorkerTimesTest.kt
@@ -63,7 +63,7 @@
             val report = Report(MachineId(id), "10.0.0.1:1", "k", "a", false, ReportPosition(session, sequence), Term(5), null, tasks)
             scheduler.onReport(report, Instant(nowMs))
             runRounds()
-            return scheduler.takeCommands(report, Instant(nowMs), launchAllowed = true)
+            return scheduler.answerChecked(report, Instant(nowMs))
         }
 
         fun runRounds() {
--- a/src/test/kotlin/dewwing/world/CombinedFaultsTest.kt
+++ b/src/test/kotlin/dewwing/world/CombinedFaultsTest.kt
@@ -165,11 +165,25 @@
     fun `a launch long after its job's cancellation was confirmed is detected, one just after is not`() {
         val rules = RuleChecker(emptyMap(), 35_000)
         val task = TaskRef(JobRef("job-1"), 0)
-        rules.onLaunchReceived(task, 1_000)
+        rules.onLaunchReceived(task, reportSentAt = 990, now = 1_000)
         rules.onCancellationTold(task.job, 2_000)
-        rules.onLaunchReceived(task, 5_000)
+        rules.onLaunchReceived(task, reportSentAt = 2_000, now = 5_000)
         assertTrue(rules.violations.none { it.startsWith("started_cancelled") })
-        rules.onLaunchReceived(task, 5_001)
-        assertTrue(rules.violations.last().startsWith("started_cancelled"))
+        rules.onLaunchReceived(task, reportSentAt = 2_000, now = 5_001)
+        assertEquals(1, rules.violations.count { it.startsWith("started_cancelled") })
+        rules.onLaunchReceived(task, reportSentAt = 2_001, now = 2_002)
+        assertEquals(2, rules.violations.count { it.startsWith("started_cancelled") })
+    }
+
+    /** Guards against starts after a confirmed cancellation: the history checks must see a leader that trusts its last read (review/8). */
+    @Test
+    fun `a leader that launches without a check of its jobs is detected`() {
+        val lateWatch =
+            listOf(ScheduledFault(FaultKind.WATCH_STALLED, 20_000, 60_000)) +
+                List(40) { ScheduledFault(FaultKind.CANCEL_JOBS, 21_000 + it * 1_000L, 0) }
+        val violations =
+            (1L..10L).flatMap { simulate(it, lateWatch, Simulation.Defect.SKIP_LAUNCH_CHECK, longTasks = false).rules.violations }
+        assertTrue(violations.any { it.startsWith("started_cancelled") }, "$violations")
+        for (seed in 1L..10L) simulate(seed, lateWatch, longTasks = false)
     }
 }
--- a/src/test/kotlin/dewwing/world/RuleChecker.kt
+++ b/src/test/kotlin/dewwing/world/RuleChecker.kt
@@ -122,16 +122,19 @@
     }
 
     /**
-     * A worker received a launch command. Launches are allowed for a short time after a cancellation, until a watch or a
-     * heartbeat has brought it to the leader.
+     * A worker received a launch command in the answer to a report that it sent at [reportSentAt]. After a cancellation was
+     * confirmed, launches are allowed in answers to reports sent before that, and for a short time only.
      */
     fun onLaunchReceived(
         task: TaskRef,
+        reportSentAt: Long,
         now: Long,
     ) {
         cancelledAt[task.job]?.let {
-            if (now > it + CANCELLATION_NOTICE_MS) {
-                violations.add("started_cancelled: $task launched ${now - it} ms after the cancellation")
+            if (reportSentAt > it || now > it + CANCELLATION_NOTICE_MS) {
+                violations.add(
+                    "started_cancelled: $task launched ${now - it} ms after the cancellation, in answer to a report of $reportSentAt",
+                )
             }
         }
     }
@@ -202,7 +205,7 @@
         private const val MAX_UNANSWERED_MS = 75_000L
         private const val MAX_WAIT_WITH_CAPACITY_MS = 90_000L
 
-        /** Heartbeats arrive every 0.5 s; a watch that hangs is detected after 6 s. */
+        /** An answer to a report that is delayed by checks arrives within this time. */
         private const val CANCELLATION_NOTICE_MS = 3_000L
         private const val LARGEST_JOB_START_LIMIT_MS = 240_000L
     }
--- a/src/test/kotlin/dewwing/world/Simulation.kt
+++ b/src/test/kotlin/dewwing/world/Simulation.kt
@@ -83,6 +83,7 @@
         FORGET_EARLY_RENEWALS,
         IGNORE_HEARTBEATS,
         STARVE_WITH_FREE_CAPACITY,
+        SKIP_LAUNCH_CHECK,
     }
 
     private val random = Random(seed)
@@ -205,12 +206,16 @@
             leaseRenewedAt = now
         }
 
-        fun execute(command: Command) {
+        /** [reportSentAt]: when the report was sent whose answer contains the command; irrelevant for direct commands. */
+        fun execute(
+            command: Command,
+            reportSentAt: Long = now,
+        ) {
             val existing = tasks[command.task]
             when (command) {
                 is Command.Launch -> {
                     if (existing != null && existing.attempt == command.attempt) return
-                    rules.onLaunchReceived(command.task, now)
+                    rules.onLaunchReceived(command.task, reportSentAt, now)
                     val launched = WorkerTask(command.task, command.attempt)
                     val spec = specs[command.task.job]
                     if (existing != null || spec == null) {
@@ -333,11 +338,11 @@
             val sentAt = now
             val sentInSession = session
             if (random.nextDouble() < faultProfile.lateDuplicateRate) {
-                after(random.nextLong(2_000, 30_000)) { controllers.forEach { it.answerReport(report) } }
+                after(random.nextLong(2_000, 30_000)) { controllers.forEach { it.answerReport(report) {} } }
             }
             if (answersLostUntil > now) {
                 // The report arrives but its answer is lost: the worker times out after 4 s and tries another controller.
-                after(random.nextLong(1, 30)) { controllers[targetController].answerReport(report) }
+                after(random.nextLong(1, 30)) { controllers[targetController].answerReport(report) {} }
                 after(5_000) {
                     targetController = (targetController + 1) % CONTROLLERS
                     sendReport()
@@ -351,25 +356,26 @@
             }
             if (disconnectedUntil > now) {
                 // The report is held back and may arrive late, after the worker has given up on it.
-                if (random.nextBoolean()) after(random.nextLong(5_000, 40_000)) { controllers[targetController].answerReport(report) }
+                if (random.nextBoolean()) after(random.nextLong(5_000, 40_000)) { controllers[targetController].answerReport(report) {} }
                 after(4_000) { sendReport() }
                 targetController = random.nextInt(CONTROLLERS)
                 return
             }
             after(random.nextLong(1, 30)) {
-                val answer = controllers[targetController].answerReport(report)
-                val lost = random.nextDouble() < faultProfile.answerLossRate
-                after(random.nextLong(1, 30)) deliver@{
-                    if (terminated || lost || answer == null) {
-                        if (answer == null) targetController = random.nextInt(CONTROLLERS)
-                        return@deliver
+                controllers[targetController].answerReport(report) { answer ->
+                    val lost = random.nextDouble() < faultProfile.answerLossRate
+                    after(random.nextLong(1, 30)) deliver@{
+                        if (terminated || lost || answer == null) {
+                            if (answer == null) targetController = random.nextInt(CONTROLLERS)
+                            return@deliver
+                        }
+                        if (hungUntil > now || sentInSession != session || answer.first < highestTerm) return@deliver
+                        highestTerm = answer.first
+                        leaseRenewedAt = maxOf(leaseRenewedAt, sentAt)
+                        for (command in answer.second) execute(command, sentAt)
                     }
-                    if (hungUntil > now || sentInSession != session || answer.first < highestTerm) return@deliver
-                    highestTerm = answer.first
-                    leaseRenewedAt = maxOf(leaseRenewedAt, sentAt)
-                    answer.second.forEach(::execute)
+                    after(nextReportMs) { sendReport() }
                 }
-                after(nextReportMs) { sendReport() }
             }
         }
     }
@@ -438,7 +444,6 @@
 
         /** This controller has read every change of a job up to this revision. */
         private var jobsReadUpTo: Revision? = null
-        private var stateAnsweredAt = 0L
 
         private fun newLeadership() =
             Leadership(
@@ -449,38 +454,74 @@
         private val isLeader get() = scheduler != null || restoring
         val isResponsive get() = isUp && now >= pausedUntil
 
-        /** Answers a worker's report with the term and the commands; null if this controller does not answer. */
-        fun answerReport(report: Report): Pair<Long, List<Command>>? {
-            if (!isResponsive) return null
+        /**
+         * Answers a worker's report: [respond] is called once, at once or later, with the term and the commands, or with null if
+         * this controller does not answer.
+         */
+        fun answerReport(
+            report: Report,
+            respond: (Pair<Long, List<Command>>?) -> Unit,
+        ) {
+            if (!isResponsive) return respond(null)
             if (defect != Defect.LEAD_WITHOUT_STATE_SERVICE) leadership.observeTerm(report.term)
-            val authority =
-                if (defect == Defect.LEAD_WITHOUT_STATE_SERVICE && isLeader) {
-                    Authority.FULL
-                } else {
-                    leadership.authority(instant(), !stateServiceAnswers(this))
-                }
-            if (!isLeader || authority == Authority.NONE) return null
+            val authority = currentAuthority()
+            if (!isLeader || authority == Authority.NONE) return respond(null)
             val activeScheduler =
-                scheduler ?: return (term to emptyList<Command>()).takeIf {
-                    defect == Defect.FORGET_EARLY_RENEWALS ||
-                        (authority == Authority.FULL && leadership.mayRenewBeforeRestore(predecessorRestored))
+                scheduler ?: return respond(
+                    (term to emptyList<Command>()).takeIf {
+                        defect == Defect.FORGET_EARLY_RENEWALS ||
+                            (authority == Authority.FULL && leadership.mayRenewBeforeRestore(predecessorRestored))
+                    },
+                )
+            if (!knowsCancellations()) return respond(null)
+            activeScheduler.onReport(report, instant())
+            checkLaunches(activeScheduler, report.machine) { respond(commandsFor(report, activeScheduler)) }
+        }
+
+        private fun currentAuthority(): Authority =
+            if (defect == Defect.LEAD_WITHOUT_STATE_SERVICE && isLeader) {
+                Authority.FULL
+            } else {
+                leadership.authority(instant(), !stateServiceAnswers(this))
+            }
+
+        private fun knowsCancellations() =
+            defect == Defect.LEAD_WITHOUT_STATE_SERVICE || defect == Defect.IGNORE_HEARTBEATS || leadership.knowsCancellations(instant())
+
+        private fun commandsFor(
+            report: Report,
+            activeScheduler: Scheduler,
+        ): Pair<Long, List<Command>>? {
+            if (!isResponsive || scheduler !== activeScheduler) return null
+            val authority = currentAuthority()
+            if (authority == Authority.NONE || !knowsCancellations()) return null
+            val readRecently = leadership.mayLaunchTasks(instant()) || defect == Defect.LEAD_WITHOUT_STATE_SERVICE
+            val commands = activeScheduler.takeCommands(report, instant(), authority == Authority.FULL && readRecently)
+            return term to if (defect == Defect.IGNORE_CANCELLATIONS) commands.filter { it !is Command.Kill } else commands
+        }
+
+        /** Compares the jobs to launch on [machine] with the records in the state service, which may be slow, and then calls [proceed]. */
+        private fun checkLaunches(
+            activeScheduler: Scheduler,
+            machine: MachineId,
+            proceed: () -> Unit,
+        ) {
+            val jobs = activeScheduler.jobsToCheckBeforeLaunch(machine)
+            if (jobs.isEmpty()) return proceed()
+            val check = activeScheduler.startRevisionCheck(jobs)
+            if (defect == Defect.SKIP_LAUNCH_CHECK || defect == Defect.LEAD_WITHOUT_STATE_SERVICE) {
+                activeScheduler.onRevisionsUnchanged(check)
+                return proceed()
+            }
+            val maxDelayMs = if (random.nextInt(SLOW_CHECK_ODDS) == 0) MAX_SLOW_CHECK_MS else MAX_CHECK_MS
+            after(random.nextLong(1, maxDelayMs)) {
+                val unchanged =
+                    stateServiceAnswers(this) && check.revisions.all { (ref, revision) -> store[Keys.job(ref)]?.second == revision.value }
+                after(random.nextLong(1, maxDelayMs)) {
+                    if (unchanged) activeScheduler.onRevisionsUnchanged(check)
+                    proceed()
                 }
-            if (defect != Defect.LEAD_WITHOUT_STATE_SERVICE && defect != Defect.IGNORE_HEARTBEATS &&
-                !leadership.knowsCancellations(instant())
-            ) {
-                return null
             }
-            activeScheduler.onReport(report, instant())
-            val recentlyAnswered = now - stateAnsweredAt <= 1_200 && leadership.mayLaunchTasks(instant())
-            var commands =
-                activeScheduler.takeCommands(
-                    report,
-                    instant(),
-                    launchAllowed =
-                        authority == Authority.FULL && (recentlyAnswered || defect == Defect.LEAD_WITHOUT_STATE_SERVICE),
-                )
-            if (defect == Defect.IGNORE_CANCELLATIONS) commands = commands.filter { it !is Command.Kill }
-            return term to commands
         }
 
         fun runLoop(ownIncarnation: Int) {
@@ -491,7 +532,6 @@
 
         private fun runOnce(ownIncarnation: Int) {
             val stateReached = stateServiceAnswers(this)
-            if (stateReached) stateAnsweredAt = now
             if (stateReached && isLeader) {
                 if (leaseHolder != index || stateLeaseUntil <= now || leadership.highestTerm.value > term) return resign()
                 if (random.nextDouble() < 0.97) {
@@ -1143,5 +1183,10 @@
         private const val PARTITIONED_ZONE = "a"
         private const val PARTITIONED_CONTROLLER = 0
         private const val RECOVERY_MS = 400_000L
+
+        /** Each way of a check of launches takes up to [MAX_CHECK_MS], and one check in [SLOW_CHECK_ODDS] up to [MAX_SLOW_CHECK_MS]. */
+        private const val MAX_CHECK_MS = 10L
+        private const val MAX_SLOW_CHECK_MS = 700L
+        private const val SLOW_CHECK_ODDS = 10
     }
 }
