Checks of launches have a part of the request rate of their own

Cause: the checks came out of the leader's share of the state service's rate.

Change: 5 % of the rate, of the tenth that no controller used, is for the checks of the leader (with sharing: divided among the controllers).

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -95,8 +95,10 @@
     /** This controller's share of the state service's request rate. */
     private val requestsPerS = settings.stateLimits.requestsPerS * STATE_REQUEST_SHARE / controllerCount
 
-    /** Shared by all local leaders. */
-    private val launchCheckBudget = TokenBucket(requestsPerS * LAUNCH_CHECK_SHARE, maxOf(1.0, requestsPerS * LAUNCH_CHECK_SHARE))
+    /** Shared by all local leaders. Without sharding no other controller has any. */
+    private val launchCheckBudget =
+        (settings.stateLimits.requestsPerS * LAUNCH_CHECK_SHARE / if (sharing == null) 1 else controllerCount)
+            .let { TokenBucket(it, maxOf(1.0, it)) }
 
     private val state =
         StateClient(
@@ -761,8 +763,8 @@
     companion object {
         private const val STATE_REQUEST_SHARE = 0.9
 
-        /** Part of this controller's requests to the state service that checks of launches may take. */
-        private const val LAUNCH_CHECK_SHARE = 0.2
+        /** Part of the state service's request rate for the checks of launches, besides [STATE_REQUEST_SHARE]. */
+        private const val LAUNCH_CHECK_SHARE = 0.05
 
         /**
          * Requests that one query counts as. Above 1, it leaves part of the request rate for elections and, on the leader, for
--- a/src/main/kotlin/dewwing/control/app/LaunchVerifier.kt
+++ b/src/main/kotlin/dewwing/control/app/LaunchVerifier.kt
@@ -29,7 +29,7 @@
     private val state: StateClient,
     /** Conditions that hold as long as the leader's term lasts. */
     private val guards: List<Pair<String, Revision>>,
-    /** Limit on the requests of all leaders of this controller together. */
+    /** Limits the checks of all leaders of this controller together; they take nothing of its other requests. */
     private val requestBudget: TokenBucket,
     /** Maximum number of conditions in one transaction of the state service. */
     maxConditions: Int,
@@ -119,7 +119,8 @@
     ): Set<JobRef> {
         val check = scheduler.startRevisionCheck(jobs)
         if (check.revisions.isEmpty()) return emptySet()
-        when (val result = state.compare(guards + check.revisions.map { (ref, revision) -> Keys.job(ref) to revision })) {
+        val conditions = guards + check.revisions.map { (ref, revision) -> Keys.job(ref) to revision }
+        when (val result = state.compare(conditions, budget = null)) {
             CompareResult.Unchanged -> {
                 scheduler.onRevisionsUnchanged(check)
                 return emptySet()
--- a/src/main/kotlin/dewwing/control/state/StateClient.kt
+++ b/src/main/kotlin/dewwing/control/state/StateClient.kt
@@ -132,9 +132,15 @@
         }
     }
 
-    /** Compares the revisions of many keys in one request, without changing anything. */
-    suspend fun compare(conditions: List<Pair<String, Revision>>): CompareResult {
-        val result = call("compare", "POST", Wire.COMMIT, Pack.encode(Wire.compareBody(conditions)), READ_TIMEOUT_MS)
+    /**
+     * Compares the revisions of many keys in one request, without changing anything. The request is taken from [budget]; null
+     * if the caller has taken it from a budget of its own.
+     */
+    suspend fun compare(
+        conditions: List<Pair<String, Revision>>,
+        budget: TokenBucket? = requestBudget,
+    ): CompareResult {
+        val result = call("compare", "POST", Wire.COMMIT, Pack.encode(Wire.compareBody(conditions)), READ_TIMEOUT_MS, budget)
         return when (result.status) {
             200 -> CompareResult.Unchanged
             409 -> CompareResult.Changed(decodeAnswer("compare") { Wire.decodeFailedKeys(Pack.decodeMap(result.body)) })
@@ -205,8 +211,9 @@
         target: String,
         body: ByteArray?,
         timeoutMs: Long,
+        budget: TokenBucket? = requestBudget,
     ): HttpClientResponse {
-        requestBudget.take(clock)
+        budget?.take(clock)
         val result =
             try {
                 http.call(method, target, body, timeoutMs)
