Comparisons of job revisions stay within 64 KiB for any setting of txn_ops

Need: a check of launches compares up to four times txn_ops revisions. With a txn_ops of some 300 or more, and as many jobs that wait for their launch at once, the request would pass 64 KiB, be answered 400, and no task would be launched any more; queries that share a request are in the same case.

Change: at most 500 conditions, which fit with the longest job ids. SettingsTest was red without the bound.

--- a/src/main/kotlin/dewwing/protocol/Settings.kt
+++ b/src/main/kotlin/dewwing/protocol/Settings.kt
@@ -88,8 +88,8 @@
     val valueBytes: Int,
     val opsPerCommit: Int,
 ) {
-    /** Maximum number of conditions of one transaction. */
-    val maxConditions: Int get() = opsPerCommit * Wire.CONDITIONS_PER_OP
+    /** Maximum number of conditions of one transaction that compares the records of jobs. */
+    val maxConditions: Int get() = minOf(opsPerCommit * Wire.CONDITIONS_PER_OP, Wire.MAX_JOB_CONDITIONS)
 }
 
 /** Limits of the cloud's API. */
--- a/src/main/kotlin/dewwing/protocol/Wire.kt
+++ b/src/main/kotlin/dewwing/protocol/Wire.kt
@@ -293,6 +293,9 @@
     /** Number of conditions that the state service allows in a transaction for each operation that it allows there. */
     const val CONDITIONS_PER_OP = 4
 
+    /** So many conditions on job records with the longest ids fit into [MAX_BODY_BYTES]. */
+    const val MAX_JOB_CONDITIONS = 500
+
     /** Body of a transaction that compares revisions and changes nothing. */
     fun compareBody(conditions: List<Pair<String, Revision>>): Map<String, Any?> = mapOf("if" to encodeConditions(conditions))
 
--- a/src/test/kotlin/dewwing/protocol/SettingsTest.kt
+++ b/src/test/kotlin/dewwing/protocol/SettingsTest.kt
@@ -1,5 +1,6 @@
 package dewwing.protocol
 
+import dewwing.control.core.intent.Keys
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertThrows
@@ -59,6 +60,16 @@
         }
     }
 
+    /** Guards against comparisons that the state service refuses for their size, so that no task is launched any more. */
+    @Test
+    fun `a transaction with the maximum number of conditions is within the size limit for any settings`() {
+        val settings = Settings.parse(validJson.replace("\"txn_ops\":8", "\"txn_ops\":100000"))
+        val longestId = JobRef("job-" + "9".repeat(60))
+        val conditions = List(settings.stateLimits.maxConditions) { Keys.job(longestId) to Revision(Long.MAX_VALUE) }
+        assertTrue(Pack.jsonSize(Wire.compareBody(conditions)) <= Wire.MAX_BODY_BYTES)
+        assertEquals(32, Settings.parse(validJson).stateLimits.maxConditions)
+    }
+
     @Test
     fun `an invalid file is refused, and the error names the field`() {
         val cases =
