--- a/src/test/kotlin/dewwing/cluster/LaunchAfterCancellationTest.kt
+++ b/src/test/kotlin/dewwing/cluster/LaunchAfterCancellationTest.kt
@@ -14,13 +14,23 @@
 
 /**
  * A job is cancelled when its tasks are logged for idle machines and not launched yet. The controller that confirms it has no
- * contact with the leader, whose watch of the jobs is late, while the leader's other requests to the state service are answered.
+ * contact with the leader, which cannot learn of it from the state service either.
  */
 class LaunchAfterCancellationTest {
-    /** Cancels [job] as soon as its placement is recorded; from then on, watches of the jobs are not answered. */
+    /** What keeps the leader from learning of the cancellation. */
+    private enum class Disruption {
+        /** Watches of the jobs are not answered; all other requests to the state service are. */
+        LATE_WATCH,
+
+        /** The state service refuses every request. */
+        REFUSED,
+    }
+
+    /** Cancels [job] as soon as its placement is recorded, and begins the [disruption] in the same step. */
     private class CancellationOnPlacement(
         private val cluster: LoopbackCluster,
         private val job: JobSpec,
+        private val disruption: Disruption,
     ) {
         private val watchesContinue = CompletableDeferred<Unit>()
         var isCancelled = false
@@ -39,14 +49,19 @@
             val record = JobRecord.of(stored.raw.entries.associate { (field, value) -> field.toString() to value })
             cluster.stateService.replace(Keys.job(job.ref), record.copy(stage = JobStage.ABORTED).toValue())
             cluster.taskTracker.onCancellationConfirmed(job.ref)
+            if (disruption == Disruption.REFUSED) cluster.stateService.isDown = true
         }
 
-        fun answerWatches() {
+        fun endDisruption() {
+            cluster.stateService.isDown = false
             watchesContinue.complete(Unit)
         }
     }
 
-    private fun cancelAfterPlacement(options: SharingOptions?): Unit =
+    private fun cancelAfterPlacement(
+        disruption: Disruption,
+        options: SharingOptions? = null,
+    ): Unit =
         runBlocking {
             LoopbackCluster(CONTROLLERS, { options }, machineCount = 30, mapOf("audio" to 800.0)).use { cluster ->
                 cluster.start()
@@ -55,11 +70,11 @@
                 // The machines are rented for the first job; once that is done they are idle.
                 cluster.submit(first)
                 cluster.awaitCondition("the first job is done") { cluster.stageOf(first, 0) == "done" }
-                val cancellation = cluster.onFakesThread { CancellationOnPlacement(cluster, job) }
+                val cancellation = cluster.onFakesThread { CancellationOnPlacement(cluster, job, disruption) }
                 cluster.submit(job)
                 cluster.awaitCondition("the job is placed and cancelled") { cluster.onFakesThread { cancellation.isCancelled } }
                 delay(LoopbackCluster.WORKER_TIMES.reportIntervalMs * 3)
-                cluster.onFakesThread { cancellation.answerWatches() }
+                cluster.onFakesThread { cancellation.endDisruption() }
                 cluster.submit(later)
                 cluster.awaitCondition("a later job is done") { cluster.stageOf(later, 0) == "done" }
                 cluster.onFakesThread { assertEquals(emptyList<String>(), cluster.taskTracker.violations) }
@@ -78,12 +93,23 @@
 
     /** Guards against starts of tasks after a user was told that their job is cancelled (review/8). */
     @Test
-    fun `a leader whose watch is late starts no task of a job that was confirmed as cancelled`() = cancelAfterPlacement(null)
+    fun `a leader whose watch is late starts no task of a job that was confirmed as cancelled`() =
+        cancelAfterPlacement(Disruption.LATE_WATCH)
 
     /** Guards against the same by the owner of a shard. */
     @Test
     fun `a shard's owner whose watch is late starts no task of a job that was confirmed as cancelled`() =
-        cancelAfterPlacement(SharingOptions(SHARDS))
+        cancelAfterPlacement(Disruption.LATE_WATCH, SharingOptions(SHARDS))
+
+    /** Guards against the same for as long as the last answer of the state service counts as new. */
+    @Test
+    fun `a leader that the state service refuses starts no task of a job that was confirmed as cancelled`() =
+        cancelAfterPlacement(Disruption.REFUSED)
+
+    /** Guards against the same by the owner of a shard. */
+    @Test
+    fun `a shard's owner that the state service refuses starts no task of a job that was confirmed as cancelled`() =
+        cancelAfterPlacement(Disruption.REFUSED, SharingOptions(SHARDS))
 
     private companion object {
         const val CONTROLLERS = 3
