A transaction over the limit of the state service no longer stops a shard

Cause: the record of a rental and its claim go into one transaction, but the batch was asked for room for the first only, and likewise when a refused rental and its claim are removed. With seven completed jobs that is nine changes where txn_ops is eight. The answer 400 was then taken for an outage, and the same transaction was sent again without end.

The fake state service of the tests with real controllers now enforces txn_ops; it did not count changes, so no test saw it.

Change: changes that belong together are added only if all of them fit into the transaction. A transaction that is answered 400 is dropped: the next ones have half as many changes, down to one; a record that is rejected alone is postponed for a minute and named in the log.

Why it works: whatever makes a transaction too large, the scheduler goes on with a smaller one, so one record can hold up only itself.

--- a/src/main/kotlin/dewwing/control/app/Leader.kt
+++ b/src/main/kotlin/dewwing/control/app/Leader.kt
@@ -555,6 +555,10 @@
                     CommitResult.StateLeaseEnded -> {
                         endTerm("the state lease has expired")
                     }
+
+                    CommitResult.Rejected -> {
+                        scheduler.onWriteRejected(clock.now())
+                    }
                 }
                 resumeDelayedReports(scheduler)
                 return
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -7,6 +7,7 @@
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.intent.LogRecord
 import dewwing.control.core.intent.RecordKeys
+import dewwing.control.core.intent.RejectedWrites
 import dewwing.control.core.intent.ReleaseRecord
 import dewwing.control.core.intent.RentalRecord
 import dewwing.control.core.intent.SplitPlacement
@@ -880,14 +881,14 @@
         now: Instant,
         hasTimeLeft: () -> Boolean,
     ) {
-        val maxChanges = minOf(settings.state.opsPerCommit, writeBudget.available(now).toInt())
+        val maxChanges = minOf(rejectedWrites.batchLimit, writeBudget.available(now).toInt())
         if (maxChanges <= 0) return
-        val batch = WriteBatch(maxChanges)
+        val batch = WriteBatch(maxChanges, settings.state.opsPerCommit)
         val fence = scope.keys.fence(term, nextFence)
         if (writeOutcomeUnknown) addFence(batch, fence)
         for (job in jobs.values) {
             if (batch.isFull()) break
-            if (job.isComplete) addJobCompletion(batch, job, now)
+            if (job.isComplete && !isPostponed(job, now)) addJobCompletion(batch, job, now)
         }
         // Fleet records name many machines each, so a share of the batch is enough; the rest is for the jobs that users wait for.
         addFleetWrites(batch, minOf(maxChanges, batch.changeCount + maxOf(1, maxChanges / FLEET_WRITE_DIVISOR)), now)
@@ -901,7 +902,8 @@
         for (job in jobs.values) {
             if (batch.isFull()) break
             val since = job.doneUnloggedSince ?: continue
-            if (now - since >= COMPLETION_LOG_DELAY && !job.isComplete && !batch.hasCondition(Keys.job(job.ref))) {
+            val isWritten = batch.hasCondition(Keys.job(job.ref)) || isPostponed(job, now)
+            if (now - since >= COMPLETION_LOG_DELAY && !job.isComplete && !isWritten) {
                 addStepRecord(batch, job, emptyList(), now)
             }
         }
@@ -909,13 +911,21 @@
         if (batch.isEmpty) return
         for (guard in scope.guards) batch.requireRevision(guard.key, guard.revision)
         batch.requireRevision(fence, Revision.ABSENT)
-        // The claim written with a rental is not part of the limit of the batch, so the batch may exceed the available budget.
+        // The claim written with a rental may take the batch beyond the available budget.
         writeBudget.tryTake(now, minOf(batch.changeCount.toDouble(), writeBudget.available(now)))
         pendingBatch = batch
         pendingBatchEvent = nextEvent()
         effects.add(Effect.Write(batch.toChange()))
     }
 
+    private val rejectedWrites = RejectedWrites(settings.state.opsPerCommit)
+
+    /** Whether the state service has lately rejected a record of [job]. */
+    private fun isPostponed(
+        job: Job,
+        now: Instant,
+    ) = rejectedWrites.isPostponed(Keys.job(job.ref), now)
+
     private var nextFence = 1L
 
     /** A write got no answer, so a copy of it may still be in flight. */
@@ -976,13 +986,17 @@
             }
         }
         for ((key, record) in fleet.rentalRecordsToWrite()) {
-            if (batch.isFull(maxChanges)) break
+            if (batch.isFull(maxChanges) || !batch.hasRoomFor(1 + claimChanges(key))) break
+            if (rejectedWrites.isPostponed(key, now)) continue
             if (record.rented == null) batch.create(key, record.toValue()) else batch.put(key, record.toValue())
             claims?.recordRental(batch, key, record.rented)
             batch.onApplied { fleet.onRentalRecordWritten(key, record) }
         }
     }
 
+    /** Changes for the claim of the rental at [rentalKey], which are made in the same transaction as those of the rental's record. */
+    private fun claimChanges(rentalKey: String) = claims?.changeCount(rentalKey) ?: 0
+
     /** Places jobs in rank order, resuming after the last job that the previous round examined if it ran out of time. */
     private fun placeJobs(
         batch: WriteBatch,
@@ -1007,7 +1021,7 @@
                 resumeAfterJob = ranking.getOrNull(i - 1)?.ref
                 return
             }
-            if (job !in waitingJobs || now < job.notBefore) continue
+            if (job !in waitingJobs || now < job.notBefore || isPostponed(job, now)) continue
             if (batch.hasCondition(Keys.job(job.ref))) continue
             val urgent = needsPreemption(job, now)
             var placements = emptyList<Placement>()
@@ -1067,7 +1081,7 @@
         val candidates = partlyUsed + empty.sortedBy { !it.spot }.dropLast(standbyMachineCount)
         for (job in overdueJobs) {
             if (batch.isFull()) return
-            if (batch.hasCondition(Keys.job(job.ref))) continue
+            if (batch.hasCondition(Keys.job(job.ref)) || isPostponed(job, now)) continue
             val limit = minOf(job.pending.cardinality(), quota.taskHeadroom(job.spec), MAX_TASKS_PER_STEP)
             val placements =
                 Placer.place(
@@ -1402,7 +1416,11 @@
             for (attempt in placement.attempts) if (attempt.neverSent) removeAttempt(attempt, now)
         }
         for (placement in splitPlacements) {
-            if (placement.isStepRecordWritten || batch.hasCondition(Keys.job(placement.job.ref))) continue
+            if (placement.isStepRecordWritten || batch.hasCondition(Keys.job(placement.job.ref)) ||
+                isPostponed(placement.job, now)
+            ) {
+                continue
+            }
             placement.addTo(batch)
             if (placement.isStepRecordWritten) batch.onApplied { onSplitPlacementLogged(placement, now) }
         }
@@ -1438,7 +1456,7 @@
             batch.onRefused { gcQueue.addFirst(due to key) }
         }
         for (key in fleet.recordsToDelete(now)) {
-            if (batch.isFull()) break
+            if (batch.isFull() || !batch.hasRoomFor(1 + claimChanges(key))) break
             batch.remove(key)
             if (fleet.wasRefused(key)) claims?.recordRefusal(batch, key)
             batch.onApplied { fleet.onRecordDeleted(key) }
@@ -1464,6 +1482,7 @@
     ) {
         val finishedBatch = pendingBatch ?: return
         pendingBatch = null
+        rejectedWrites.onApplied()
         confirmOpenJobs(finishedBatch)
         finishedBatch.notifyApplied(revision)
     }
@@ -1488,6 +1507,19 @@
         return true
     }
 
+    /** The state service has rejected the pending write as malformed or too large, so it must not be sent again unchanged. */
+    fun onWriteRejected(now: Instant) {
+        val rejectedBatch = pendingBatch ?: return
+        pendingBatch = null
+        val postponed = rejectedWrites.onRejected(rejectedBatch, now)
+        if (postponed.isEmpty()) {
+            log.warn("the state service rejects a transaction of {} changes; smaller ones are tried", rejectedBatch.changeCount)
+        } else {
+            log.error("the state service rejects the records {}; they are postponed", postponed)
+        }
+        rejectedBatch.notifyNotApplied()
+    }
+
     /** When [cachedRanking] was computed. It expires because waiting changes the order. */
     private var rankingComputedAt = Instant.DISTANT_PAST
 
--- a/src/main/kotlin/dewwing/control/core/intent/WriteBatch.kt
+++ b/src/main/kotlin/dewwing/control/core/intent/WriteBatch.kt
@@ -8,9 +8,14 @@
  * Builder for one transaction of the state service: its conditions, its changes, and callbacks for its outcome.
  *
  * The state service limits the changes and the bytes of a transaction; [isFull] tells when to stop adding records.
+ *
+ * @param maxChanges number of changes after which no further record is added
+ * @param maxTransactionChanges number of changes that the state service accepts; records that belong together may take the
+ *   batch beyond [maxChanges] and up to this limit
  */
 class WriteBatch(
     private val maxChanges: Int,
+    private val maxTransactionChanges: Int = maxChanges,
 ) {
     private val conditions = LinkedHashMap<String, Revision>()
     private val puts = ArrayList<Pair<String, Map<String, Any?>>>()
@@ -35,11 +40,17 @@
      */
     fun isFull(limit: Int = maxChanges): Boolean = changeCount >= minOf(limit, maxChanges) || bytesLeft < MIN_BYTES_LEFT
 
+    /** Whether [changes] changes that belong together fit into the transaction. */
+    fun hasRoomFor(changes: Int): Boolean = changeCount + changes <= maxTransactionChanges
+
     fun hasCondition(key: String): Boolean = key in conditions
 
     /** Keys whose revisions are conditions of the transaction. */
     val conditionKeys: Set<String> get() = conditions.keys
 
+    /** Keys that the transaction writes or removes. */
+    val changedKeys: Set<String> get() = puts.mapTo(LinkedHashSet()) { it.first } + removes
+
     /** Adds the condition that [key] is at [revision]; [Revision.ABSENT] means that it does not exist. */
     fun requireRevision(
         key: String,
@@ -102,10 +113,15 @@
         if (failed.any { it in createdKeys }) {
             notifyApplied(Revision(0))
         } else {
-            for (callback in refusedCallbacks) callback()
+            notifyNotApplied()
         }
     }
 
+    /** Runs the callbacks for a transaction that was not and will not be applied. */
+    fun notifyNotApplied() {
+        for (callback in refusedCallbacks) callback()
+    }
+
     companion object {
         /** The state service accepts 64 KiB; the remainder is for the encoding around the records. */
         private const val MAX_BYTES = 60 * 1024
--- a/src/main/kotlin/dewwing/control/core/sharing/ShardClaims.kt
+++ b/src/main/kotlin/dewwing/control/core/sharing/ShardClaims.kt
@@ -48,6 +48,9 @@
         if (machines != null) batch.onApplied { add(key, machines) }
     }
 
+    /** Number of changes that [recordRental] or [recordRefusal] adds to a batch for the rental at [rentalKey]. */
+    fun changeCount(rentalKey: String): Int = if (SharingKeys.claimForRental(rentalKey) == null) 0 else 1
+
     /** Removes the claim of a rental that the cloud has refused. */
     fun recordRefusal(
         batch: WriteBatch,
--- a/src/main/kotlin/dewwing/control/sharing/SuccessionOffer.kt
+++ b/src/main/kotlin/dewwing/control/sharing/SuccessionOffer.kt
@@ -59,7 +59,7 @@
             val change = StateChange(listOf(key to holder.revision), listOf(key to value))
             return when (state.commit(change, elected.stateLease, key)) {
                 is CommitResult.Applied -> OfferOutcome.RECORDED
-                is CommitResult.Conflict -> OfferOutcome.UNKNOWN
+                is CommitResult.Conflict, CommitResult.Rejected -> OfferOutcome.UNKNOWN
                 CommitResult.StateLeaseEnded -> OfferOutcome.SUPERSEDED
             }
         } catch (e: IOException) {
--- a/src/main/kotlin/dewwing/control/state/StateClient.kt
+++ b/src/main/kotlin/dewwing/control/state/StateClient.kt
@@ -36,6 +36,9 @@
 
     /** The state lease that a put refers to has expired or been revoked. */
     data object StateLeaseEnded : CommitResult
+
+    /** The transaction is malformed or exceeds a limit of the service, which will reject it again if it is repeated unchanged. */
+    data object Rejected : CommitResult
 }
 
 /** Result of comparing the revisions of keys with the expected ones. */
@@ -127,7 +130,7 @@
         return when (result.status) {
             200 -> CommitResult.Applied(decodeAnswer("commit") { Wire.decodeRevision(Pack.decodeMap(result.body)) })
             409 -> CommitResult.Conflict(decodeAnswer("commit") { Wire.decodeFailedKeys(Pack.decodeMap(result.body)) })
-            400 -> if (lease != null) CommitResult.StateLeaseEnded else throw unavailable("commit", result)
+            400 -> if (lease != null) CommitResult.StateLeaseEnded else CommitResult.Rejected
             else -> throw unavailable("commit", result)
         }
     }
--- a/src/test/kotlin/dewwing/cluster/FakeStateService.kt
+++ b/src/test/kotlin/dewwing/cluster/FakeStateService.kt
@@ -156,9 +156,11 @@
                 .mapList("if")
                 .filter { (storedValues[it.text("path")]?.revision ?: 0L) != it.count("mark") }
                 .map { it.text("path") }
+        if (body.mapList("if").size > MAX_CHANGES * Wire.CONDITIONS_PER_OP) return HttpResponse.error(400, "too many conditions")
         if (failedKeys.isNotEmpty()) return HttpResponse.of(409, mapOf("failed" to failedKeys, "tide" to revision.value))
         if ("apply" !in body.raw) return HttpResponse.of(200, mapOf("tide" to revision.value))
         val operations = body.mapList("apply")
+        if (operations.size > MAX_CHANGES) return HttpResponse.error(400, "too many changes")
         val fate = fateOf(operations)
         if (fate == CommitFate.REFUSE) return HttpResponse.error(503, "refused")
         if (fate == CommitFate.DEFER) {
@@ -262,7 +264,10 @@
 
     private fun nowMs() = System.nanoTime() / 1_000_000
 
-    private companion object {
-        const val DEFAULT_PAGE_SIZE = 1_000
+    companion object {
+        private const val DEFAULT_PAGE_SIZE = 1_000
+
+        /** Changes that one transaction may make. */
+        const val MAX_CHANGES = 8
     }
 }
--- a/src/test/kotlin/dewwing/cluster/LoopbackCluster.kt
+++ b/src/test/kotlin/dewwing/cluster/LoopbackCluster.kt
@@ -298,7 +298,7 @@
             "facts":{"initial_size":0,"zones":["a"],"teams":[$teamsJson],"objectives":[],
             "workers":{"report_s":${WORKER_TIMES.reportIntervalMs / 1000.0},"lease_s":${WORKER_TIMES.leaseDurationMs / 1000.0},"gang_wait_s":${WORKER_TIMES.gangTimeoutMs / 1000.0},
             "gang_peer_s":3,"cancel_s":25},
-            "state":{"rps":600,"write_rps":200,"value_kb":4,"txn_ops":8},"cloud":{"rps":40,"list_lag_s":1},
+            "state":{"rps":600,"write_rps":200,"value_kb":4,"txn_ops":${FakeStateService.MAX_CHANGES}},"cloud":{"rps":40,"list_lag_s":1},
             "machine_limits":{"core_share":1,"memory_mb":500,"sockets":2000},"time_bound_ms":25}}"""
     }
 
--- a/src/test/kotlin/dewwing/control/core/SchedulerHarness.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerHarness.kt
@@ -1,8 +1,11 @@
 package dewwing.control.core
 
 import dewwing.control.core.intent.JobRecord
+import dewwing.control.core.intent.Keys
+import dewwing.control.core.sharing.SchedulerScope
 import dewwing.protocol.Command
 import dewwing.protocol.Duration
+import dewwing.protocol.EndCause
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
 import dewwing.protocol.JobShape
@@ -23,13 +26,15 @@
 import dewwing.protocol.Term
 import dewwing.protocol.Urgency
 
-/** A scheduler with workers that carry out commands immediately. Time is virtual and every write succeeds. */
+/** A scheduler with workers that carry out commands immediately. Time is virtual, and a write succeeds unless a test rejects it. */
 internal class SchedulerHarness(
     teams: List<Team> = listOf(Team("t", 0.0, null, 0.0, null)),
     objectives: List<Objective> = emptyList(),
     types: List<MachineType> = listOf(EIGHT_ACCELERATOR_TYPE),
     /** Carries out rentals and releases; null if requests to the cloud are not answered. */
     private val cloud: HarnessCloud? = null,
+    stateLimits: StateLimits = StateLimits(1e6, 1e6, 65_536, 64),
+    scope: SchedulerScope = SchedulerScope.single(TERM_REVISION),
 ) {
     private class Worker(
         val type: String,
@@ -46,9 +51,9 @@
     )
 
     private val settings =
-        testSettings(Duration(1_000), Duration(10_000), StateLimits(1e6, 1e6, 65_536, 64)).copy(teams = teams, objectives = objectives)
+        testSettings(Duration(1_000), Duration(10_000), stateLimits).copy(teams = teams, objectives = objectives)
     val scheduler =
-        Scheduler(settings, TERM, Revision(50), Instant(0), 0).also {
+        Scheduler(settings, TERM, TERM_REVISION, Instant(0), 0, scope).also {
             it.onMachineTypes(types)
             it.onMachineList(emptyList(), Instant(0))
         }
@@ -60,6 +65,12 @@
     /** Tasks that were killed while running, with their grace periods in seconds. */
     val killedTasks = LinkedHashMap<TaskRef, Double>()
 
+    /** Whether the state service answers a write with 400. */
+    var rejectsWrite: (StateChange) -> Boolean = { false }
+
+    /** Jobs that are recorded as done. */
+    val doneJobs = HashSet<JobRef>()
+
     /** Number of machines requested from the cloud so far. */
     var rentedMachineCount = 0
         private set
@@ -116,7 +127,7 @@
         val effects = scheduler.runRound(Instant(nowMs)) { true }
         for (effect in effects) {
             when (effect) {
-                is Effect.Write -> scheduler.onWriteApplied(Revision(++revision), Instant(nowMs))
+                is Effect.Write -> write(effect.change)
                 is Effect.Kill -> effect.kills.forEach { kill(effect.machine.value, it) }
                 is Effect.Rent -> rent(effect)
                 is Effect.Release -> release(effect)
@@ -124,6 +135,24 @@
         }
     }
 
+    private fun write(change: StateChange) {
+        if (rejectsWrite(change)) return scheduler.onWriteRejected(Instant(nowMs))
+        scheduler.onWriteApplied(Revision(++revision), Instant(nowMs))
+        for ((key, value) in change.puts) {
+            val job = Keys.parseJobKey(key) ?: continue
+            if (JobRecord.of(value).stage == JobStage.DONE) doneJobs.add(job)
+        }
+    }
+
+    /** All running tasks of [job] complete; their workers report it until a command removes them. */
+    fun complete(job: JobSpec) {
+        for (worker in workers.values) {
+            worker.runningTasks.replaceAll { task, reported ->
+                if (task.job == job.ref) ReportedTask(task, reported.attempt, TaskStage.ENDED, EndCause.DONE, false) else reported
+            }
+        }
+    }
+
     private fun kill(
         id: String,
         command: Command.Kill,
@@ -148,7 +177,7 @@
                 }
 
                 is Command.Reap -> {
-                    Unit
+                    worker.runningTasks.remove(command.task)
                 }
             }
         }
@@ -167,10 +196,12 @@
     /** Number of machines that run no task. */
     val idleMachineCount: Int get() = workers.values.count { it.runningTasks.isEmpty() }
 
-    fun runningTaskCount(job: JobSpec): Int = workers.values.sumOf { w -> w.runningTasks.keys.count { it.job == job.ref } }
+    fun runningTaskCount(job: JobSpec): Int =
+        workers.values.sumOf { w -> w.runningTasks.values.count { it.task.job == job.ref && it.stage != TaskStage.ENDED } }
 
     companion object {
         private val TERM = Term(5)
+        val TERM_REVISION = Revision(50)
 
         /** Boots in 30 s and fetches images at 1 GB/s. */
         val EIGHT_ACCELERATOR_TYPE =
