A team's limit holds when several changes of a shard's part are carried out late

Cause: of changes of a part without an answer only the last was remembered. 8 to 0, then 8 to 4, both on the same revision: the shard took 4, the first change was carried out, and another shard took the 8 that the record says are free.

Change: the least of all changes without an answer on the present revision counts.

Why it works: any one of them makes a new revision, on which the others fail, and none allocates less than what the shard then uses.

--- a/src/main/kotlin/dewwing/control/sharing/AllotmentAdjuster.kt
+++ b/src/main/kotlin/dewwing/control/sharing/AllotmentAdjuster.kt
@@ -51,13 +51,22 @@
     private val guards = scope.guards.map { it.key to it.revision }
     private val policy = AllotmentPolicy(shard)
 
-    /** A change whose write outcome is unknown: it may still be applied until the record at [revision] changes. */
-    private class UnknownChange(
+    /**
+     * Changes whose write outcomes are unknown: any one of them may still be applied until the record at [revision] changes.
+     * [allocated] is the least that one of them allocates.
+     */
+    private class UnknownChanges(
         val revision: Revision,
         val allocated: TeamResources,
     )
 
-    private val unknownChanges = HashMap<String, UnknownChange>()
+    private val unknownChanges = HashMap<String, UnknownChanges>()
+
+    private fun rememberUnknownOutcome(change: Change) {
+        val earlier = unknownChanges[change.team.name]?.takeIf { it.revision == change.stored.revision }
+        val allocated = componentwiseMin(earlier?.allocated, change.next.allocated)
+        unknownChanges[change.team.name] = UnknownChanges(change.stored.revision, allocated)
+    }
 
     /** The allocations that the scheduler uses now, by team. */
     private val appliedAllocations = HashMap<String, TeamResources>()
@@ -86,12 +95,7 @@
         try {
             if (!write(changes)) return
         } catch (e: StateUnavailableException) {
-            if (!e.knownNotApplied) {
-                for (change in changes) {
-                    unknownChanges[change.team.name] =
-                        UnknownChange(change.stored.revision, change.next.allocated)
-                }
-            }
+            if (!e.knownNotApplied) changes.forEach(::rememberUnknownOutcome)
             throw e
         }
         for (change in changes) {
@@ -113,7 +117,7 @@
         val before = stored.allotments.shards[shard.index]
         val unknown = unknownChanges[team.name]?.takeIf { it.revision == stored.revision }
         if (unknown == null) unknownChanges.remove(team.name)
-        // The record is authoritative. While a change of unknown outcome may still lower it, the lower of the two applies.
+        // The record is authoritative. While changes of unknown outcome may still lower it, the lowest applies.
         val allowed = if (unknown == null) before.allocated else componentwiseMin(before.allocated, unknown.allocated)
         if (appliedAllocations[team.name] != allowed) applyAllocation(team, allowed)
         val next = policy.next(limitOf(team), stored.allotments, demand)
--- a/src/test/kotlin/dewwing/cluster/FakeStateService.kt
+++ b/src/test/kotlin/dewwing/cluster/FakeStateService.kt
@@ -4,6 +4,7 @@
 import dewwing.control.http.HttpResponse
 import dewwing.protocol.Fields
 import dewwing.protocol.Pack
+import dewwing.protocol.Revision
 import dewwing.protocol.Wire
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
@@ -78,6 +79,8 @@
 
     fun value(key: String): Fields? = (storedValues[key]?.value as? Map<*, *>)?.let(::Fields)
 
+    fun revisionOf(key: String): Revision = Revision(storedValues[key]?.revision ?: 0L)
+
     fun keysUnder(prefix: String): List<String> = storedValues.tailMap(prefix).keys.takeWhile { it.startsWith(prefix) }
 
     suspend fun handle(request: HttpRequest): HttpResponse {
--- a/src/test/kotlin/dewwing/control/api/UserApiTest.kt
+++ b/src/test/kotlin/dewwing/control/api/UserApiTest.kt
@@ -2,7 +2,6 @@
 
 import dewwing.control.core.JobCounts
 import dewwing.control.core.SharedRateLimiter
-import dewwing.control.core.TokenBucket
 import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.quota.Quota
 import dewwing.control.core.sharing.ShardId
@@ -11,7 +10,7 @@
 import dewwing.control.http.HttpResponse
 import dewwing.control.http.HttpServer
 import dewwing.control.http.ServerLimits
-import dewwing.control.state.StateClient
+import dewwing.control.state.withLoopbackState
 import dewwing.protocol.Endpoint
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
@@ -27,7 +26,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
-import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -107,20 +105,10 @@
     private fun withApi(
         queryBurst: Double = 10_000.0,
         block: suspend (UserApi, FakeStateService, Host) -> Unit,
-    ) = runBlocking {
-        val port = ServerSocket(0).use { it.localPort }
-        val endpoint = Endpoint("127.0.0.1", port)
-        ActorSelectorManager(Dispatchers.IO).use { selector ->
-            val stateService = FakeStateService()
-            val bound = CompletableDeferred<Unit>()
-            val limits = ServerLimits(50, Wire.MAX_BODY_BYTES, 5_000, 5_000, 5_000, 5_000)
-            val server = launch { HttpServer(selector, endpoint, limits, { bound.complete(Unit) }, stateService::handle).run() }
-            bound.await()
-            val host = Host(listOf(machineType))
-            val clock = { host.now() }
-            val stateRateLimiter = TokenBucket(10_000.0, 10_000.0)
-            val http = HttpClient(selector, endpoint, 2)
-            val state = StateClient(http, http, stateRateLimiter, clock) { _, _ -> }
+    ) {
+        val stateService = FakeStateService()
+        val host = Host(listOf(machineType))
+        withLoopbackState(stateService::handle, host::now) { state ->
             val api =
                 UserApi(
                     state = state,
@@ -133,8 +121,6 @@
                 )
             launch { api.run() }
             block(api, stateService, host)
-            server.cancel()
-            coroutineContext.cancelChildren()
         }
     }
 
--- a/src/test/kotlin/dewwing/control/app/LaunchVerifierTest.kt
+++ b/src/test/kotlin/dewwing/control/app/LaunchVerifierTest.kt
@@ -4,27 +4,16 @@
 import dewwing.control.core.LaunchFixture
 import dewwing.control.core.TokenBucket
 import dewwing.control.core.intent.Keys
-import dewwing.control.http.HttpClient
-import dewwing.control.http.HttpServer
-import dewwing.control.http.ServerLimits
-import dewwing.control.state.StateClient
-import dewwing.protocol.Endpoint
+import dewwing.control.state.withLoopbackState
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
 import dewwing.protocol.MachineId
 import dewwing.protocol.Revision
-import dewwing.protocol.Wire
-import io.ktor.network.selector.ActorSelectorManager
-import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import java.net.ServerSocket
 
 /** Checks of launches against a state service on loopback. */
 class LaunchVerifierTest {
@@ -35,22 +24,12 @@
         fixture: LaunchFixture,
         block: suspend (LaunchVerifier) -> Unit,
     ): Unit =
-        runBlocking {
-            val endpoint = Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort })
-            ActorSelectorManager(Dispatchers.IO).use { selector ->
-                val bound = CompletableDeferred<Unit>()
-                val limits = ServerLimits(50, Wire.MAX_BODY_BYTES, 5_000, 5_000, 5_000, 5_000)
-                launch { HttpServer(selector, endpoint, limits, { bound.complete(Unit) }, stateService::handle).run() }
-                bound.await()
-                val clock = { Instant(System.nanoTime() / 1_000_000) }
-                val http = HttpClient(selector, endpoint, 4)
-                val state = StateClient(http, http, TokenBucket(1e6, 1e6), clock) { _, _ -> }
-                val budget = TokenBucket(100.0, 1.0)
-                val verifier = LaunchVerifier(fixture.scheduler, state, listOf(TERM), budget, MAX_CONDITIONS, clock) { changedKeys += it }
-                launch { verifier.run() }
-                block(verifier)
-                coroutineContext.cancelChildren()
-            }
+        withLoopbackState(stateService::handle) { state ->
+            val clock = { Instant(System.nanoTime() / 1_000_000) }
+            val budget = TokenBucket(100.0, 1.0)
+            val verifier = LaunchVerifier(fixture.scheduler, state, listOf(TERM), budget, MAX_CONDITIONS, clock) { changedKeys += it }
+            launch { verifier.run() }
+            block(verifier)
         }
 
     private fun submit(
