With sharing on, a team with a limit goes on after a burst of jobs

Cause: the limit was divided into max-min fair parts of any size. With more shards that have waiting jobs than the limit holds tasks every part is smaller than a task, and none ever grows, since no request goes away. Only gangs had a way out.

Change: a shard that uses nothing and can get no part that holds a task of its oldest waiting array reserves one task, in the field of the record that gangs use. All reservations are served before the fair shares, oldest job first, each in full or not at all; the others give up what they hold and do not use. The format of the record is as before.

Why it works: the oldest reservation always fits into the limit less what running tasks use, or nothing fits.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -1606,7 +1606,15 @@
                 .filter { it.isGang && it.liveAttempts.isEmpty() && ageS(it, now) >= FULL_ALLOTMENT_REQUEST_AFTER_S }
                 .minByOrNull { it.submittedAtMs }
         val reserved = starvingGang?.let { amount(it.spec.schedulingUnit) } ?: TeamResources.NONE
-        return TeamDemand(amount(used), amount(requested), reserved, starvingGang?.submittedAtMs ?: 0)
+        val oldestArray = waiting.filter { !it.isGang }.minByOrNull { it.submittedAtMs }
+        return TeamDemand(
+            used = amount(used),
+            requested = amount(requested),
+            reserved = reserved,
+            reservedSinceMs = starvingGang?.submittedAtMs ?: 0,
+            nextTask = oldestArray?.let { amount(it.spec.need) } ?: TeamResources.NONE,
+            nextTaskSinceMs = oldestArray?.submittedAtMs ?: 0,
+        )
     }
 
     private fun amount(resources: Resources) = TeamResources(resources.cores, resources.accelerators)
--- a/src/main/kotlin/dewwing/control/core/sharing/Allotments.kt
+++ b/src/main/kotlin/dewwing/control/core/sharing/Allotments.kt
@@ -20,9 +20,9 @@
     val allocated: TeamResources,
     /** What the shard's running tasks and waiting jobs would use together. */
     val requested: TeamResources,
-    /** What one long-waiting gang needs at once; it is served before the fair shares. */
+    /** What one waiting job needs at once, more than the shard's fair share; it is served before the fair shares. */
     val reserved: TeamResources = TeamResources.NONE,
-    /** Wall-clock time at which that gang was submitted. */
+    /** Wall-clock time at which that job was submitted. */
     val reservedSinceMs: Long = 0,
 ) {
     companion object {
@@ -82,8 +82,14 @@
     val used: TeamResources,
     /** Used by those tasks and needed by all waiting ones. */
     val requested: TeamResources,
+    /** What a long-waiting gang needs at once. */
     val reserved: TeamResources = TeamResources.NONE,
+    /** Wall-clock time at which that gang was submitted. */
     val reservedSinceMs: Long = 0,
+    /** Needed by one task of the waiting array that was submitted first. */
+    val nextTask: TeamResources = TeamResources.NONE,
+    /** Wall-clock time at which that array was submitted. */
+    val nextTaskSinceMs: Long = 0,
 )
 
 /**
@@ -91,8 +97,11 @@
  *
  * Each owner changes only its own entry. It raises its allocation by at most what is not allocated to any shard, and
  * never lowers it below its use. The allocations therefore never add up to more than the limit, and none is below its
- * shard's use. All shards work towards the same division: the whole need of the gang that has waited longest comes
- * first, then each shard's max-min fair share of what is requested, and the surplus is divided equally.
+ * shard's use. All shards work towards the same division: reservations come first, in the order in which their jobs were
+ * submitted, as far as they fit; then each shard's max-min fair share of what is requested; and the surplus is divided equally.
+ *
+ * A shard has a reservation for a gang that has waited long, or for one task if it uses nothing and what it can get without
+ * a reservation holds none. Without the latter, more shards with waiting jobs than the limit holds tasks would all wait for ever.
  */
 class AllotmentPolicy(
     private val shard: ShardId,
@@ -104,8 +113,7 @@
         demand: TeamDemand,
     ): Allotment {
         val before = current.shards[shard.index]
-        val withDemand =
-            before.copy(requested = demand.requested, reserved = demand.reserved, reservedSinceMs = demand.reservedSinceMs)
+        val withDemand = withReservation(limit, current, before.copy(requested = demand.requested), demand)
         val entries = current.with(shard, withDemand).shards
         val allocated =
             TeamResources(
@@ -116,6 +124,38 @@
         return if (isWorthWriting(limit, before, next, current.shards)) next else before
     }
 
+    private fun withReservation(
+        limit: TeamResources,
+        current: TeamAllotments,
+        entry: Allotment,
+        demand: TeamDemand,
+    ): Allotment {
+        val unreserved = entry.copy(reserved = TeamResources.NONE, reservedSinceMs = 0)
+        return when {
+            demand.reserved != TeamResources.NONE -> entry.copy(reserved = demand.reserved, reservedSinceMs = demand.reservedSinceMs)
+
+            holdsNoTask(
+                limit,
+                current.with(shard, unreserved),
+                demand,
+            ) -> entry.copy(reserved = demand.nextTask, reservedSinceMs = demand.nextTaskSinceMs)
+
+            else -> unreserved
+        }
+    }
+
+    /** Whether the shard uses nothing of some limited resource, and gets too little of it for the next task by [allotments]. */
+    private fun holdsNoTask(
+        limit: TeamResources,
+        allotments: TeamAllotments,
+        demand: TeamDemand,
+    ): Boolean =
+        RESOURCES.any { amount ->
+            val whole = amount(limit)
+            whole.isFinite() && amount(demand.used) <= whole * ROUNDING_FRACTION &&
+                amount(demand.nextTask) > nextAllocated(whole, allotments.shards, amount(demand.used), amount) + whole * ROUNDING_FRACTION
+        }
+
     private fun nextAllocated(
         limit: Double,
         entries: List<Allotment>,
@@ -139,18 +179,42 @@
         amount: (TeamResources) -> Double,
     ): Double {
         val requested = DoubleArray(entries.size) { minOf(amount(entries[it].requested), limit) }
-        val longestWaiting = entries.indices.filter { amount(entries[it].reserved) > 0 }.minByOrNull { entries[it].reservedSinceMs }
-        val reserved = if (longestWaiting == null) 0.0 else minOf(amount(entries[longestWaiting].reserved), limit)
-        if (longestWaiting != null) requested[longestWaiting] = maxOf(0.0, requested[longestWaiting] - reserved)
-        val shares = maxMinFair(limit - reserved, requested)
-        val surplus = maxOf(0.0, limit - reserved - shares.sum())
-        return shares[shard.index] + surplus / entries.size + if (longestWaiting == shard.index) reserved else 0.0
+        val reserving = entries.indices.filter { amount(entries[it].reserved) > 0 }.sortedBy { entries[it].reservedSinceMs }
+        val granted = grantReservations(limit, reserving, entries, amount)
+        for (i in entries.indices) requested[i] = maxOf(0.0, requested[i] - granted[i])
+        val unreserved = limit - granted.sum()
+        val shares = maxMinFair(unreserved, requested)
+        val surplus = maxOf(0.0, unreserved - shares.sum())
+        val share = shares[shard.index] + surplus / entries.size + granted[shard.index]
+        if (reserving.isEmpty()) return share
+        // Shards that use more than their shares keep it, so the others have to leave more for the reservations.
+        val left = limit - entries.indices.filter { it != shard.index }.sumOf { maxOf(granted[it], amount(entries[it].allocated)) }
+        val precedesAll = reserving.takeWhile { it != shard.index }.all { amount(entries[it].allocated) >= granted[it] }
+        return maxOf(if (precedesAll) granted[shard.index] else 0.0, minOf(share, left))
+    }
+
+    /** What each shard gets for its reservation: the oldest first, each in full or, if it does not fit into the rest, not at all. */
+    private fun grantReservations(
+        limit: Double,
+        reserving: List<Int>,
+        entries: List<Allotment>,
+        amount: (TeamResources) -> Double,
+    ): DoubleArray {
+        val granted = DoubleArray(entries.size)
+        var remaining = limit
+        for (i in reserving) {
+            val reserved = minOf(amount(entries[i].reserved), limit)
+            if (reserved > remaining) continue
+            granted[i] = reserved
+            remaining -= reserved
+        }
+        return granted
     }
 
     /**
      * Hysteresis: a small change waits until it has added up to a larger one, unless a shard's requests exceed its allocation.
      * Such a shard makes its requests known and takes what it can get, and all others make theirs known and give up what they
-     * do not request.
+     * do not request. Whatever the division leaves to an unmet reservation is given up.
      */
     private fun isWorthWriting(
         limit: TeamResources,
@@ -159,7 +223,7 @@
         recorded: List<Allotment>,
     ): Boolean {
         if (before.reserved != next.reserved) return true
-        return listOf<(TeamResources) -> Double>({ it.cores }, { it.accelerators }).any { amount ->
+        return RESOURCES.any { amount ->
             val whole = amount(limit)
             if (whole.isInfinite() || whole <= 0) return@any false
             val minChange = whole * MIN_CHANGE_FRACTION
@@ -169,7 +233,10 @@
             val isShort = amount(next.requested) > amount(before.allocated)
             val isRecordedAsShort = amount(before.requested) > amount(before.allocated)
             val affectsOthers = maxOf(requestChange, -raised) > whole * ROUNDING_FRACTION
+            val yieldsToReservation =
+                -raised > whole * ROUNDING_FRACTION && recorded.any { it !== before && amount(it.reserved) > amount(it.allocated) }
             when {
+                yieldsToReservation -> true
                 isShort -> raised > 0 || !isRecordedAsShort
                 affectsOthers -> recorded.any { it !== before && amount(it.requested) > amount(it.allocated) }
                 else -> false
@@ -178,6 +245,8 @@
     }
 
     companion object {
+        private val RESOURCES = listOf<(TeamResources) -> Double>({ it.cores }, { it.accelerators })
+
         /** Changes below this fraction of the team's limit are written only if some shard's allocation does not cover its requests. */
         private const val MIN_CHANGE_FRACTION = 0.05
 
--- a/src/test/kotlin/dewwing/control/core/sharing/AllotmentsTest.kt
+++ b/src/test/kotlin/dewwing/control/core/sharing/AllotmentsTest.kt
@@ -21,6 +21,10 @@
         val waiting = DoubleArray(count)
         val reserved = DoubleArray(count)
         val reservedSinceMs = LongArray(count)
+
+        /** Cores of one task, by shard; 0 if tasks of any size may start. */
+        val taskSize = DoubleArray(count)
+        val waitingSinceMs = LongArray(count)
         var writes = 0
 
         fun allocated(shard: Int) = record.shards[shard].allocated.cores
@@ -32,6 +36,8 @@
                     TeamResources(used[shard] + waiting[shard], 0.0),
                     TeamResources(reserved[shard], 0.0),
                     reservedSinceMs[shard],
+                    if (waiting[shard] > 0) TeamResources(taskSize[shard], 0.0) else TeamResources.NONE,
+                    waitingSinceMs[shard],
                 )
             val next = AllotmentPolicy(ShardId(shard)).next(teamLimit, record, demand)
             if (next != record.shards[shard]) writes++
@@ -50,6 +56,15 @@
             waiting[shard] -= started.toDouble()
         }
 
+        /** Starts as many waiting tasks of the shard's size as the share allows; returns whether any was started. */
+        fun startWholeTasks(shard: Int): Boolean {
+            val tasks = (minOf(waiting[shard], allocated(shard) - used[shard] + 1e-6) / taskSize[shard]).toInt()
+            if (tasks <= 0) return false
+            used[shard] += tasks * taskSize[shard]
+            waiting[shard] -= tasks * taskSize[shard]
+            return true
+        }
+
         fun adjustAll(rounds: Int = 10) = repeat(rounds) { for (shard in layout.all) adjust(shard.index) }
     }
 
@@ -176,6 +191,37 @@
         }
     }
 
+    /** Guards against a team that stops for good: after a burst the share of every shard was smaller than one task (review/3). */
+    @Test
+    fun `with more waiting shards than the limit holds tasks, tasks start as long as the limit has room for one`() {
+        for (seed in 1L..300L) {
+            val random = Random(seed)
+            val team = Team(random.nextInt(8, 40).toDouble(), random.nextInt(2, 14))
+            val shards = team.layout.all.map { it.index }
+            for (shard in shards) {
+                team.taskSize[shard] = random.nextInt(1, team.limit.toInt() + 1).toDouble()
+                team.waiting[shard] = team.taskSize[shard] * random.nextInt(0, 4)
+                team.waitingSinceMs[shard] = random.nextLong(1, 100)
+            }
+            var rounds = 0
+            while (shards.any { team.waiting[it] > 0 }) {
+                repeat(SETTLING_ROUNDS) {
+                    team.adjustAll(1)
+                    shards.forEach(team::startWholeTasks)
+                }
+                val oldest = shards.filter { team.used[it] == 0.0 && team.waiting[it] > 0 }.minByOrNull { team.waitingSinceMs[it] }
+                val room = team.limit - team.used.sum()
+                assertTrue(
+                    oldest == null || team.taskSize[oldest] > room,
+                    "seed $seed: shard $oldest waits beside room for a task",
+                )
+                assertTrue(++rounds <= MAX_ROUNDS, "seed $seed: work waits for ever")
+                val busy = shards.filter { team.used[it] > 0 }
+                team.used[busy.random(random)] = 0.0
+            }
+        }
+    }
+
     @Test
     fun `max-min fair shares`() {
         fun fairShares(
@@ -186,4 +232,12 @@
         assertArrayEquals(doubleArrayOf(1.0, 2.0), fairShares(10.0, 1.0, 2.0), 1e-9)
         assertArrayEquals(doubleArrayOf(0.0, 0.0), fairShares(-5.0, 1.0, 2.0), 1e-9)
     }
+
+    private companion object {
+        /** In the real program a round takes a second. */
+        const val SETTLING_ROUNDS = 4
+
+        /** More than there are tasks in any case. */
+        const val MAX_ROUNDS = 60
+    }
 }
