A gang is not given up while one of its tasks still fetches its image

Cause: a task that waited for the rest of its gang for gang_wait_s ends with `incomplete`. That was treated as a lost task, so the rest was ended, and a worker gives a fetch up when no task waits for it. The next attempt began the fetch anew.

Evidence: SchedulerTest; before, the answer to the report was a reap and no launch, and the fetching task was killed.

Change: while another task of the attempt fetches its image and none has run or is being stopped, the ended task is reaped and launched on the same machine with the same attempt number, which according to the protocol completes the gang. At most five times.

Why it works: the fetch goes on, so each wait ends nearer to a running gang. The task's own report proves that it has ended, and the launch needs the check of its job like any other.

--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -71,7 +71,7 @@
  *
  * Main invariant: a task is started only when no earlier attempt of it can still be on a machine. An [Attempt] exists
  * from before its log record is written until it is *proven* gone. All that time it counts toward the machine's
- * resources, the team's quota and the zone constraints, and it is launched at most once.
+ * resources, the team's quota and the zone constraints, and it is launched again only after its worker has reported its end.
  */
 class Scheduler(
     private val settings: CoreSettings,
@@ -611,10 +611,12 @@
                     handleLostAttempt(known, now)
                 }
 
-                EndCause.NO_ROOM, EndCause.IN_USE, EndCause.UNKNOWN_JOB, EndCause.INCOMPLETE -> {
-                    log.info("task {} refused by machine {}: {}", known.ref, machine.id, reported.cause)
-                    known.job.recordFailure(now)
-                    handleLostAttempt(known, now)
+                EndCause.INCOMPLETE -> {
+                    if (mayRejoinGang(known)) rejoinGang(known) else handleRefusedTask(known, EndCause.INCOMPLETE, now)
+                }
+
+                EndCause.NO_ROOM, EndCause.IN_USE, EndCause.UNKNOWN_JOB -> {
+                    handleRefusedTask(known, reported.cause, now)
                 }
 
                 else -> {
@@ -627,6 +629,39 @@
         if (!resultUnwritten && commands.size < MAX_COMMANDS_PER_MESSAGE) commands.add(Command.Reap(reported.task, reported.attempt))
     }
 
+    private fun handleRefusedTask(
+        attempt: Attempt,
+        cause: EndCause,
+        now: Instant,
+    ) {
+        log.info("task {} refused by machine {}: {}", attempt.ref, attempt.machine.id, cause)
+        attempt.job.recordFailure(now)
+        handleLostAttempt(attempt, now)
+    }
+
+    /**
+     * Whether other tasks of the gang of [attempt], which has ended because they were not there in time, still fetch their
+     * images. A new attempt of the whole gang would give these fetches up, and could go on like that for ever.
+     */
+    private fun mayRejoinGang(attempt: Attempt): Boolean {
+        val job = attempt.job
+        if (!job.isGang || !job.isOpen || attempt.killGraceS != null || !attempt.machine.schedulable) return false
+        val others = job.liveAttempts.values.filter { it !== attempt }
+        return others.size == job.spec.tasks - 1 &&
+            others.all { it.step == attempt.step && it.killGraceS == null && it.runningSince == null } &&
+            others.any { it.stage == TaskStage.FETCHING } &&
+            attempt.rejoinCount < MAX_GANG_REJOINS
+    }
+
+    /** The ended task is discarded by its worker and launched there again with the same attempt number, which completes the gang. */
+    private fun rejoinGang(attempt: Attempt) {
+        attempt.rejoinCount++
+        attempt.phase = AttemptPhase.READY
+        attempt.stage = null
+        attempt.launchReport = null
+        log.info("task {} waits again for tasks of its gang that fetch their images ({} times)", attempt.ref, attempt.rejoinCount)
+    }
+
     private fun launchReady(
         machine: Machine,
         report: Report,
@@ -1698,6 +1733,9 @@
         /** After waiting this long, a gang that other shards' allotments may be blocking requests an allotment for all its tasks. */
         private const val FULL_ALLOTMENT_REQUEST_AFTER_S = 15.0
         private const val FAULTY_MACHINE_FAILED_JOBS = 2
+
+        /** A gang waits this many times longer than a worker does for images that are being fetched. */
+        private const val MAX_GANG_REJOINS = 5
         private const val MACHINE_REMOVAL_DELAY_MS = 60_000L
         private val COMPLETION_LOG_DELAY = Duration(2_000)
     }
--- a/src/main/kotlin/dewwing/control/core/job/Job.kt
+++ b/src/main/kotlin/dewwing/control/core/job/Job.kt
@@ -55,6 +55,9 @@
     /** Grace period of the kill that this attempt is due, or null while it should go on. */
     var killGraceS: Double? = null
 
+    /** How often it was launched again to wait for tasks of its gang that fetch their images. */
+    var rejoinCount = 0
+
     /** When a report first showed it running. */
     var runningSince: Instant? = null
 
--- a/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
+++ b/src/test/kotlin/dewwing/control/core/SchedulerTest.kt
@@ -135,6 +135,66 @@
         assertTrue(report("m-1", runningTask(1)).isEmpty())
     }
 
+    private fun gangTask(
+        launch: Command.Launch,
+        stage: TaskStage,
+        cause: EndCause? = null,
+    ) = ReportedTask(launch.task, launch.attempt, stage, cause, false)
+
+    /** Starts a gang of two tasks on the machines m-1 and m-2; the first waits for the second, which fetches its image. */
+    private fun startGangWithSlowFetch(): Pair<Command.Launch, Command.Launch> {
+        report("m-1")
+        report("m-2")
+        submit(jobSpec(1, "c", Urgency.STANDARD, JobShape.GANG, Resources(8.0, 2.0, 8.0)).copy(tasks = 2))
+        runRound()
+        val first = report("m-1").filterIsInstance<Command.Launch>().single()
+        val second = report("m-2").filterIsInstance<Command.Launch>().single()
+        report("m-1", gangTask(first, TaskStage.WAITING))
+        report("m-2", gangTask(second, TaskStage.FETCHING))
+        return first to second
+    }
+
+    private fun hasKill(effects: List<Effect>) = effects.any { it is Effect.Kill }
+
+    /** Guards against a gang that is given up again and again, each time before its last image is there (review/5). */
+    @Test
+    fun `a gang task that waited in vain is launched again with the same attempt while another fetches its image`() {
+        val (first, second) = startGangWithSlowFetch()
+        repeat(3) {
+            val answer = report("m-1", gangTask(first, TaskStage.ENDED, EndCause.INCOMPLETE))
+            assertEquals(listOf(Command.Reap(first.task, first.attempt), first), answer)
+            assertFalse(hasKill(runRound()))
+            assertTrue(report("m-2", gangTask(second, TaskStage.FETCHING)).isEmpty())
+            report("m-1", gangTask(first, TaskStage.WAITING))
+        }
+        // The answer with the launch may be lost: the worker then reports the end of the task once more.
+        report("m-1", gangTask(first, TaskStage.ENDED, EndCause.INCOMPLETE))
+        assertTrue(first in report("m-1", gangTask(first, TaskStage.ENDED, EndCause.INCOMPLETE)))
+        report("m-2", gangTask(second, TaskStage.RUNNING))
+        report("m-1", gangTask(first, TaskStage.RUNNING))
+        assertEquals(2, scheduler.jobCounts(first.task.job)?.running)
+    }
+
+    @Test
+    fun `a gang task that waited in vain ends its gang if no image is being fetched, or for too long`() {
+        val (first, second) = startGangWithSlowFetch()
+        var restarts = 0
+        while (report("m-1", gangTask(first, TaskStage.ENDED, EndCause.INCOMPLETE)).any { it is Command.Launch }) {
+            report("m-1", gangTask(first, TaskStage.WAITING))
+            assertTrue(++restarts < 20)
+        }
+        assertTrue(hasKill(runRound()))
+        assertTrue(report("m-2", gangTask(second, TaskStage.FETCHING)).any { it is Command.Kill })
+    }
+
+    @Test
+    fun `a gang task that waited in vain ends its gang if all images are there`() {
+        val (first, second) = startGangWithSlowFetch()
+        report("m-2", gangTask(second, TaskStage.WAITING))
+        assertTrue(report("m-1", gangTask(first, TaskStage.ENDED, EndCause.INCOMPLETE)).none { it is Command.Launch })
+        assertTrue(hasKill(runRound()))
+    }
+
     @Test
     fun `no task is placed on a worker that does not know the current term yet`() {
         submit(jobSpec(1, "c", Urgency.STANDARD, JobShape.ARRAY, halfMachine))
