Machines are not kept for a gang that they cannot hold together

Cause: a waiting gang reserves the least loaded machines in each round. One bound to a zone does so only where the zone has enough machines; any other gang reserved every machine it may use, also when all of them are too few.

Evidence: WholeMachineGangsTest; before, no task of the other job started beside six empty machines.

Change: a gang reserves machines only if all that it may use could hold it, within its limits for zones.

Why it works: a reservation helps a gang only if it can end in its start. As soon as enough machines are up, empty or not, it reserves as before, so smaller jobs do not keep it waiting (a second test).

--- a/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
@@ -121,11 +121,28 @@
     /**
      * Reserves the least loaded machines that the gang [job] could use, so that no other job gets them later in this
      * round. A gang that must run in one zone reserves machines in one zone only: capacity split over two zones would be
-     * useless to it and unavailable to other jobs.
+     * useless to it and unavailable to other jobs. So would be machines that cannot hold the whole gang together.
      */
     fun reserve(job: Job) {
         val allowed = groups.filter { it.allows(job.spec) }
-        if (job.spec.oneZone) reserve(job, leastLoadedZone(job, allowed)) else reserve(job, allowed)
+        val usable = if (job.spec.oneZone) leastLoadedZone(job, allowed) else allowed
+        if (canHold(job, usable)) reserve(job, usable)
+    }
+
+    /** Whether the machines of [usable] could hold all tasks of the gang [job] if nothing else ran on them. */
+    private fun canHold(
+        job: Job,
+        usable: List<MachineGroup>,
+    ): Boolean {
+        val limits = ZoneLimits(job)
+        var tasks = 0
+        for (group in usable) {
+            val slots = minOf(group.machines.size.toLong() * group.type.size.slots(job.spec.need), job.spec.tasks.toLong()).toInt()
+            val usableSlots = minOf(slots, limits.remaining(group.zone))
+            limits.add(group.zone, usableSlots)
+            tasks += usableSlots
+        }
+        return tasks >= job.spec.tasks
     }
 
     /** The groups of the zone in which the machines that [job] needs run the fewest tasks. */
--- a/src/test/kotlin/dewwing/control/core/WholeMachineGangsTest.kt
+++ b/src/test/kotlin/dewwing/control/core/WholeMachineGangsTest.kt
@@ -40,6 +40,40 @@
         assertEquals(2, harness.runningTaskCount(gang))
     }
 
+    /** Guards against empty machines that are kept for a gang larger than the cloud (review/7). */
+    @Test
+    fun `a gang that all machines together cannot hold leaves them to other jobs`() {
+        val cloud = SchedulerHarness.HarnessCloud(mapOf("a" to 0, "b" to 0))
+        val harness = SchedulerHarness(twoTeams, cloud = cloud)
+        repeat(6) { harness.addMachine("m-$it") }
+        harness.submit(job(1, 8, JobShape.GANG, Urgency.HIGH, accelerators = 8).copy(team = "other"))
+        harness.run(5.0)
+        val array = job(2, tasks = 2)
+        harness.submit(array)
+        harness.run(10.0)
+        assertEquals(2, harness.runningTaskCount(array))
+    }
+
+    /** The machines of a gang that they can hold are kept for it, also while other tasks still run there. */
+    @Test
+    fun `a gang that all machines together can hold gets them before jobs of lower rank`() {
+        val harness = SchedulerHarness(cloud = SchedulerHarness.HarnessCloud(mapOf("a" to 0, "b" to 0)))
+        repeat(2) { harness.addMachine("m-$it") }
+        val running = job(1, tasks = 1).copy(urgency = Urgency.HIGH)
+        harness.submit(running)
+        harness.run(5.0)
+        val gang = job(2, 2, JobShape.GANG, Urgency.HIGH, accelerators = 8)
+        harness.submit(gang)
+        harness.run(1.0)
+        val array = job(3, tasks = 8)
+        harness.submit(array)
+        harness.run(5.0)
+        assertEquals(0, harness.runningTaskCount(array))
+        harness.complete(running)
+        harness.run(10.0)
+        assertEquals(2, harness.runningTaskCount(gang))
+    }
+
     @Test
     fun `a gang without an objective does not wait longer than a few minutes for a free machine either`() {
         val harness = SchedulerHarness()
