Sharing begins with an owner of shard 0, so an outage at that moment stops no task

Cause: the single leader ended its term with the record that enables sharing. Nobody could be elected as owner of shard 0 during the outage, so nobody might renew worker leases, which lapsed after 8 s.

Change: the transaction that enables sharing also elects its writer as owner of shard 0, with a new state lease and a reading of the cancelled jobs. The new term inherits the heartbeats of the old one and knows its machines. With fewer than six changes a transaction all is as before.

Why it works: at each moment either the old term is in force or the new one, and the new one has what the outage rule needs: the cancelled jobs up to its reading, and peers that were heard before that reading and tell the later ones.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -37,6 +37,7 @@
 import dewwing.control.peer.PeerState
 import dewwing.control.peer.ReceivedHeartbeat
 import dewwing.control.peer.SharingStatus
+import dewwing.control.sharing.EnabledSharding
 import dewwing.control.sharing.MoveTracing
 import dewwing.control.sharing.ReportRoute
 import dewwing.control.sharing.ShardedControl
@@ -44,6 +45,7 @@
 import dewwing.control.sharing.SharingOptions
 import dewwing.control.sharing.SharingPeer
 import dewwing.control.sharing.SharingSwitch
+import dewwing.control.sharing.SingleLeaderTakeover
 import dewwing.control.state.StateClient
 import dewwing.control.state.StateUnavailableException
 import dewwing.control.worker.WorkerClient
@@ -135,7 +137,7 @@
 
     /** Not null while sharding is enabled, that is, while shards have owners of their own. */
     private var shardedControl: ShardedControl? = null
-    private val sharingSwitch = SharingSwitch(settings.nodeName, state, settings.stateLimits.opsPerCommit, ::now)
+    private val sharingSwitch = SharingSwitch(settings.nodeName, state, settings.stateLimits.opsPerCommit, options.stateLeaseTtl, ::now)
     private val elections: List<LeaderElection> get() = shardedControl?.elections ?: listOf(singleElection)
     private val localLeaders: List<Leader> get() = elections.mapNotNull { it.localLeader }
     override val incarnation = Incarnation(Random.nextLong())
@@ -532,9 +534,18 @@
                 val observed = readElectionRecords()
                 val marker = observed.marker
                 when {
-                    marker == null -> electSingleLeader(observed)
-                    sharing == null -> sharingSwitch.disableIfUnowned(observed.term, marker)
-                    else -> runSharded(marker, sharing)
+                    marker == null -> {
+                        electSingleLeader(observed)
+                        sharing?.let { continueSharded(it) }
+                    }
+
+                    sharing == null -> {
+                        sharingSwitch.disableIfUnowned(observed.term, marker)
+                    }
+
+                    else -> {
+                        runSharded(marker, sharing)
+                    }
                 }
             } catch (e: IOException) {
                 log.debug("election poll failed: {}", e.message)
@@ -589,6 +600,20 @@
         leadAlone(elected)
     }
 
+    /** Set when this controller, as the single leader, has enabled sharding. */
+    private var enabledSharding: EnabledSharding? = null
+
+    /** The machines of the single leader that has enabled sharding. */
+    private var machinesBeforeSharding: Set<MachineId> = emptySet()
+
+    /** If this controller has just enabled sharding, it goes on without another read of the records, which might be refused. */
+    private suspend fun continueSharded(sharing: SharingOptions) {
+        val enabled = enabledSharding ?: return
+        enabledSharding = null
+        val takeover = enabled.firstShardTerm?.let { SingleLeaderTakeover(it, singleElection.leadership, machinesBeforeSharding) }
+        runSharded(enabled.marker, sharing, takeover)
+    }
+
     /** Runs the single leader's term [elected]; returns when it has ended. */
     private suspend fun leadAlone(elected: ElectedTerm): Unit =
         coroutineScope {
@@ -692,11 +717,13 @@
     private suspend fun runSharded(
         marker: SharingMarker,
         sharing: SharingOptions,
+        takeover: SingleLeaderTakeover? = null,
     ) {
         if (marker.layout.count != sharing.shards) {
             log.warn("keeping the {} existing shards: --shards takes effect only after sharding has been disabled", marker.layout.count)
         }
-        val control = ShardedControl(marker, settings, sharing, options.stateLeaseTtl, leadershipTimes, state, this, metrics, tracing)
+        val control =
+            ShardedControl(marker, settings, sharing, options.stateLeaseTtl, leadershipTimes, state, this, metrics, tracing, takeover)
         shardedControl = control
         try {
             control.run()
@@ -721,21 +748,21 @@
                 loggedObstacle = obstacle
                 continue
             }
-            try {
-                if (!staleRecordsRemoved) sharingSwitch.removeStaleRecords(elected.revision)
-                staleRecordsRemoved = true
-            } catch (e: IOException) {
-                log.debug("cannot remove the records of an earlier period of sharding: {}", e.message)
-                continue
-            }
+            val preparation =
+                try {
+                    if (!staleRecordsRemoved) sharingSwitch.removeStaleRecords(elected.revision)
+                    staleRecordsRemoved = true
+                    sharingSwitch.prepare()
+                } catch (e: IOException) {
+                    log.debug("sharding cannot be prepared: {}", e.message)
+                    continue
+                }
             leader.pauseRounds()
             try {
-                if (sharingSwitch.enable(
-                        elected.term,
-                        elected.revision,
-                        ShardLayout(sharing.shards),
-                    )
-                ) {
+                val enabled = sharingSwitch.enable(elected.term, elected.revision, ShardLayout(sharing.shards), preparation)
+                if (enabled != null) {
+                    enabledSharding = enabled
+                    machinesBeforeSharding = leader.scheduler?.machineIds() ?: emptySet()
                     leader.stepDown("sharding is enabled")
                 }
             } catch (e: StateUnavailableException) {
--- a/src/main/kotlin/dewwing/control/core/Scheduler.kt
+++ b/src/main/kotlin/dewwing/control/core/Scheduler.kt
@@ -1617,6 +1617,8 @@
 
     fun knowsMachine(machine: MachineId): Boolean = machine in machines
 
+    fun machineIds(): Set<MachineId> = machines.keys.toSet()
+
     /** Number of reporting machines and their tasks, as a measure of this scheduler's load. */
     fun load(): Int = machines.values.sumOf { if (it.up) 1 + it.attempts.size else 0 }
 
--- a/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
@@ -183,6 +183,15 @@
         return isFirst
     }
 
+    /**
+     * Takes over what [other], a leadership of this controller that ends, has heard from the peers. Otherwise the outage rule
+     * would not hold until each peer has been heard again and the jobs have been read after that.
+     */
+    fun inheritHeartbeats(other: Leadership) {
+        heartbeats.putAll(other.heartbeats)
+        incarnationSeenAt.putAll(other.incarnationSeenAt)
+    }
+
     /** This controller was elected for [term], under a state lease whose last renewal was sent at [leaseSentAt]. */
     fun elected(
         term: Term,
--- a/src/main/kotlin/dewwing/control/sharing/ShardedControl.kt
+++ b/src/main/kotlin/dewwing/control/sharing/ShardedControl.kt
@@ -8,7 +8,6 @@
 import dewwing.control.app.ObservedTerm
 import dewwing.control.core.Scheduler
 import dewwing.control.core.StateChange
-import dewwing.control.core.intent.JobRecord
 import dewwing.control.core.intent.Keys
 import dewwing.control.core.leadership.CancelledJobs
 import dewwing.control.core.leadership.Leadership
@@ -30,7 +29,6 @@
 import dewwing.protocol.Incarnation
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
-import dewwing.protocol.JobStage
 import dewwing.protocol.MachineId
 import dewwing.protocol.MalformedException
 import dewwing.protocol.Revision
@@ -72,6 +70,14 @@
     ) : ReportRoute
 }
 
+/** What the single leader, which has enabled sharding, passes on to itself as the owner of [ShardId.FIRST]. */
+class SingleLeaderTakeover(
+    val elected: ElectedTerm,
+    val leadership: Leadership,
+    /** Its machines. They belong to [ShardId.FIRST], which this controller cannot read in an outage. */
+    val machines: Set<MachineId>,
+)
+
 /** What [ShardedControl] needs from the controller that it is part of. */
 interface SharingHost {
     fun now(): Instant
@@ -109,6 +115,8 @@
     private val host: SharingHost,
     metrics: Metrics,
     tracing: MoveTracing?,
+    /** Null unless this controller, as the single leader, has just enabled sharding. */
+    private val takeover: SingleLeaderTakeover? = null,
 ) : ClusterView {
     private val log = LoggerFactory.getLogger("sharing")
     private val layout = marker.layout
@@ -124,6 +132,7 @@
         }
     private val moves = ShardMoves(self, options.startConfirmTimeout, settings.workers.gangTimeout, this, metrics, tracing)
     private val coordinator = ShardCoordinator(layout, options.planner, self, host, state, elections) { snapshots.value }
+    private val cancelledJobsReader = CancelledJobsReader(state, host::now)
     private val unownedSince = HashMap<ShardId, Instant>()
 
     /** Condition of writes that must fail once the present period of sharding has ended. */
@@ -138,7 +147,9 @@
         val lookup = directory.findShard(machine, host.now())
         if (lookup is ShardLookup.Resolved) return ReportRoute.Local(electionOf(lookup.shard))
         // A scheduler that rented the machine or has it in its records need not wait for the answers to other rentals.
-        val knowingElection = elections.firstOrNull { it.localLeader?.scheduler?.knowsMachine(machine) == true }
+        val knowingElection =
+            elections.firstOrNull { it.localLeader?.scheduler?.knowsMachine(machine) == true }
+                ?: elections.first().takeIf { it.localLeader != null && takeover != null && machine in takeover.machines }
         return if (knowingElection != null) ReportRoute.Local(knowingElection) else ReportRoute.Redirect(elections.first().otherLeader())
     }
 
@@ -225,8 +236,23 @@
         return snapshots.value?.member(peer) == MemberRecord(incarnation)
     }
 
+    /** The term of [ShardId.FIRST] that began when sharding was enabled. */
+    private suspend fun leadFirstShard(takeover: SingleLeaderTakeover) {
+        val election = elections.first()
+        election.leadership.inheritHeartbeats(takeover.leadership)
+        try {
+            lead(election, ShardId.FIRST, takeover.elected)
+        } catch (e: IOException) {
+            log.debug("shard {}: request to the state service failed in the term: {}", election.shard, e.message)
+        }
+    }
+
     private suspend fun campaign(election: LeaderElection) {
         var newerThan = Instant.DISTANT_PAST
+        if (takeover != null && election.shard == ShardId.FIRST) {
+            leadFirstShard(takeover)
+            newerThan = host.now()
+        }
         while (true) {
             val snapshot = snapshots.filterNotNull().first { it.requestedAt > newerThan }
             newerThan = snapshot.requestedAt
@@ -261,7 +287,7 @@
         }
         election.onLeaderRead(current.holderName)
         if (current.successor != self || election.mustBackOff || host.isDraining) return false
-        return runForElection(election, shard, candidacy(shard, snapshot, current, readCancelledJobs()))
+        return runForElection(election, shard, candidacy(shard, snapshot, current, cancelledJobsReader.read()))
     }
 
     private suspend fun runForElection(
@@ -286,24 +312,6 @@
         moves.onTermEnded(election)
     }
 
-    private suspend fun readCancelledJobs(): CancelledJobs {
-        val requestedAt = host.now()
-        val cancelled = HashSet<JobRef>()
-        val readUpTo =
-            state.list(Keys.JOBS) { page ->
-                for (entry in page) if (isCancelled(entry)) Keys.parseJobKey(entry.key)?.let(cancelled::add)
-            }
-        return CancelledJobs(readUpTo, requestedAt, cancelled)
-    }
-
-    private fun isCancelled(entry: Wire.Entry): Boolean =
-        try {
-            entry.value?.let(JobRecord::of)?.stage == JobStage.ABORTED
-        } catch (e: MalformedException) {
-            log.error("job record {} is malformed: {}", entry.key, e.message)
-            false
-        }
-
     /**
      * Whether this controller may run for election as owner of a shard that has none: the planned owner at once; without an
      * available planned owner, the controller chosen by rendezvous hashing at once; all others after
--- a/src/main/kotlin/dewwing/control/sharing/SharingSwitch.kt
+++ b/src/main/kotlin/dewwing/control/sharing/SharingSwitch.kt
@@ -1,8 +1,11 @@
 package dewwing.control.sharing
 
+import dewwing.control.app.ElectedTerm
 import dewwing.control.app.ObservedTerm
 import dewwing.control.core.StateChange
 import dewwing.control.core.intent.Keys
+import dewwing.control.core.leadership.CancelledJobs
+import dewwing.control.core.sharing.ShardId
 import dewwing.control.core.sharing.ShardLayout
 import dewwing.control.core.sharing.SharingKeys
 import dewwing.control.core.sharing.SharingMarker
@@ -11,11 +14,19 @@
 import dewwing.protocol.Duration
 import dewwing.protocol.Instant
 import dewwing.protocol.Revision
+import dewwing.protocol.StateLeaseId
 import dewwing.protocol.Term
 import dewwing.protocol.Wire
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 
+/** Sharding as the single leader has just enabled it. */
+class EnabledSharding(
+    val marker: SharingMarker,
+    /** The term in which that controller owns [ShardId.FIRST]; null if a transaction cannot hold the election too. */
+    val firstShardTerm: ElectedTerm?,
+)
+
 /**
  * Enables and disables sharding, that is, changes between a single leader and shards with their own owners.
  *
@@ -28,30 +39,69 @@
     private val node: String,
     private val state: StateClient,
     private val opsPerCommit: Int,
+    private val stateLeaseTtl: Duration,
     private val clock: () -> Instant,
 ) {
     private val log = LoggerFactory.getLogger("sharing")
+    private val cancelledJobsReader = CancelledJobsReader(state, clock)
+
+    /** What the single leader needs to become the owner of [ShardId.FIRST]. */
+    class Preparation(
+        val cancelledJobs: CancelledJobs,
+        val stateLease: StateLeaseId,
+        val leaseSentAt: Instant,
+    )
+
+    suspend fun prepare(): Preparation {
+        val cancelledJobs = cancelledJobsReader.read()
+        val leaseSentAt = clock()
+        return Preparation(cancelledJobs, state.createStateLease(stateLeaseTtl), leaseSentAt)
+    }
 
     /**
      * Enables sharding on behalf of the single leader that was elected for [term] at [termRevision] and has paused its
-     * scheduling rounds. Returns false if it is no longer the leader.
+     * scheduling rounds, and makes it the owner of [ShardId.FIRST], to which its jobs and machines belong. Without an owner,
+     * an outage of the state service that begins now would cost all running tasks. Returns null if it is no longer the leader.
      */
     suspend fun enable(
         term: Term,
         termRevision: Revision,
         layout: ShardLayout,
-    ): Boolean {
-        val change =
-            StateChange(
-                listOf(Keys.TERM to termRevision, Keys.HOLDER to termRevision),
-                listOf(
-                    Keys.TERM to ObservedTerm.termValue(term, node),
-                    Keys.HOLDER to SharingMarker.value(layout),
-                    Keys.EVER_SHARDED to emptyMap(),
-                    SharingKeys.COUNTER to ObservedTerm.termValue(term, node),
-                ),
+        preparation: Preparation,
+    ): EnabledSharding? {
+        val conditions = listOf(Keys.TERM to termRevision, Keys.HOLDER to termRevision)
+        val puts =
+            listOf(
+                Keys.TERM to ObservedTerm.termValue(term, node),
+                Keys.HOLDER to SharingMarker.value(layout),
+                Keys.EVER_SHARDED to emptyMap(),
+            )
+        val firstTerm = term.next()
+        val electionPuts =
+            listOf(
+                SharingKeys.COUNTER to ObservedTerm.termValue(firstTerm, node),
+                SharingKeys.term(ShardId.FIRST) to ObservedTerm.termValue(firstTerm, node),
+                SharingKeys.holder(ShardId.FIRST) to ObservedTerm.holderValue(firstTerm, node, preparation.stateLease),
+            )
+        if (puts.size + electionPuts.size > opsPerCommit) {
+            val change = StateChange(conditions, puts + (SharingKeys.COUNTER to ObservedTerm.termValue(term, node)))
+            val result = state.commit(change) as? CommitResult.Applied ?: return null
+            return EnabledSharding(SharingMarker(layout, result.revision), firstShardTerm = null)
+        }
+        val electionConditions = listOf(SharingKeys.term(ShardId.FIRST), SharingKeys.holder(ShardId.FIRST)).map { it to Revision.ABSENT }
+        val change = StateChange(conditions + electionConditions, puts + electionPuts)
+        val result =
+            state.commit(change, preparation.stateLease, SharingKeys.holder(ShardId.FIRST)) as? CommitResult.Applied ?: return null
+        val elected =
+            ElectedTerm(
+                firstTerm,
+                result.revision,
+                preparation.stateLease,
+                preparation.leaseSentAt,
+                predecessorReady = true,
+                preparation.cancelledJobs,
             )
-        return state.commit(change) is CommitResult.Applied
+        return EnabledSharding(SharingMarker(layout, result.revision), elected)
     }
 
     /** Removes the records of an earlier period of sharding, which are not used under a single leader. */
--- a/src/test/kotlin/dewwing/cluster/SharingSwitchOutageTest.kt
+++ b/src/test/kotlin/dewwing/cluster/SharingSwitchOutageTest.kt
@@ -10,7 +10,18 @@
 class SharingSwitchOutageTest {
     /** Guards against work without a leader throughout an outage: the single leader stopped before a shard's owner was elected. */
     @Test
-    fun `an outage that begins when sharing is enabled stops no running task`(): Unit =
+    fun `an outage that begins when sharing is enabled stops no running task`() =
+        outageWhenSharingIsEnabled(LoopbackCluster.WORKER_TIMES.leaseDurationMs + 2_000, gangSeconds = 20.0)
+
+    /** Guards against an owner that knows cancellations from its own reading only: it may renew leases for 8 s after that. */
+    @Test
+    fun `an outage of several leases that begins when sharing is enabled stops no running task`() =
+        outageWhenSharingIsEnabled(LoopbackCluster.WORKER_TIMES.leaseDurationMs * 3, gangSeconds = 35.0)
+
+    private fun outageWhenSharingIsEnabled(
+        outageMs: Long,
+        gangSeconds: Double,
+    ): Unit =
         runBlocking {
             var enabledOn = setOf(0, 1)
             val options = SharingOptions(SHARDS)
@@ -24,7 +35,7 @@
                 }
             }, machineCount = 30, mapOf("audio" to 60.0)).use { cluster ->
                 cluster.start()
-                val job = cluster.gang(4, GANG_SECONDS, cores = 1.0)
+                val job = cluster.gang(4, gangSeconds, cores = 1.0)
                 cluster.submit(job)
                 cluster.awaitCondition("all tasks run") { cluster.onFakesThread { cluster.taskTracker.runningTaskCount == job.tasks } }
                 cluster.onFakesThread {
@@ -39,7 +50,7 @@
                 cluster.kill(2)
                 cluster.start(2)
                 cluster.awaitCondition("the outage begins") { cluster.onFakesThread { cluster.stateService.isDown } }
-                delay(LoopbackCluster.WORKER_TIMES.leaseDurationMs + 2_000)
+                delay(outageMs)
                 cluster.onFakesThread { cluster.stateService.isDown = false }
                 cluster.awaitCondition("the job is done") { cluster.stageOf(job, 0) == "done" }
                 cluster.onFakesThread { assertEquals(0, cluster.taskTracker.stoppedTaskCount, "tasks stopped") }
@@ -49,6 +60,5 @@
     private companion object {
         const val CONTROLLERS = 3
         const val SHARDS = 6
-        const val GANG_SECONDS = 20.0
     }
 }
