One function for the machines that tasks need, one property for a rental's market

The rounding "machines for so many tasks" stood in four places, the comparison of type, zone and spot of a rental in three, and CancellationsBeforeRestore kept the cancelled jobs beside the cancellations from which they follow.

--- a/src/main/kotlin/dewwing/control/core/fleet/DemandCoverage.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/DemandCoverage.kt
@@ -9,7 +9,6 @@
 import dewwing.protocol.JobSpec
 import dewwing.protocol.MachineType
 import dewwing.protocol.Resources
-import kotlin.math.ceil
 
 /** One machine, existing or on order, whose capacity the plan of machines assigns tasks to. */
 class PlannedMachine(
@@ -149,13 +148,7 @@
         tasks: Int,
         offer: MarketOffer,
     ): List<PlannedMachine> {
-        val needed =
-            ceil(
-                tasks /
-                    offer.type.size
-                        .slots(spec.need)
-                        .toDouble(),
-            ).toInt()
+        val needed = offer.type.size.machinesFor(tasks, spec.need) ?: return emptyList()
         val count = minOf(needed, RentalMarkets.MAX_RENTAL_COUNT, markets.allowance(offer.market))
         order(offer, count)
         return List(count) { PlannedMachine(offer.type, offer.market.zone, offer.market.spot, offer.type.size, null) }
--- a/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/Fleet.kt
@@ -116,7 +116,7 @@
         val rental = rentals[key] ?: return
         val request = rental.record.request
         val filled = rented != null && rented.size >= request.count
-        markets.onAnswered(Market(request.type, request.zone, request.spot), filled, now)
+        markets.onAnswered(request.market, filled, now)
         if (rented == null) {
             log.info(
                 "cloud has no capacity for {} machines of type {}{} in zone {}",
@@ -426,7 +426,7 @@
     fun minMachinesFor(spec: JobSpec): Int {
         val tasks = if (spec.shape == JobShape.GANG) spec.tasks else 1
         val slots = PlacementConstraints.preferredTypes(spec, types.values).maxOfOrNull { it.size.slots(spec.need) } ?: return 0
-        return if (slots == 0) 0 else ceil(tasks / slots.toDouble()).toInt()
+        return Resources.machinesFor(tasks, slots) ?: 0
     }
 
     /** Time from submission by which a job that is [ageS] old has to start, according to its objectives and its deadline. */
@@ -475,12 +475,7 @@
     ): Double = spec.imageGb / maxOf(type.fetchGbPerS, 1e-3)
 
     private fun pendingOrders(market: Market): PendingOrders {
-        val pending =
-            rentals.values.filter {
-                val request = it.record.request
-                it.stage <= RentalStage.REQUESTED && request.type == market.type && request.zone == market.zone &&
-                    request.spot == market.spot
-            }
+        val pending = rentals.values.filter { it.stage <= RentalStage.REQUESTED && it.record.request.market == market }
         return PendingOrders(pending.sumOf { it.record.request.count }, pending.any { it.stage > RentalStage.TO_LOG })
     }
 
@@ -494,8 +489,7 @@
         val mergeable =
             rentals.values.firstOrNull { rental ->
                 val request = rental.record.request
-                rental.stage == RentalStage.TO_LOG && rental.knownSince == now && request.type == type && request.zone == zone &&
-                    request.spot == spot &&
+                rental.stage == RentalStage.TO_LOG && rental.knownSince == now && request.market == offer.market &&
                     request.count + count <= RentalMarkets.MAX_RENTAL_COUNT
             }
         if (mergeable != null) {
--- a/src/main/kotlin/dewwing/control/core/fleet/RentalMarkets.kt
+++ b/src/main/kotlin/dewwing/control/core/fleet/RentalMarkets.kt
@@ -1,11 +1,11 @@
 package dewwing.control.core.fleet
 
+import dewwing.control.core.RentalRequest
 import dewwing.control.core.placement.PlacementConstraints
 import dewwing.protocol.Duration
 import dewwing.protocol.Instant
 import dewwing.protocol.JobSpec
 import dewwing.protocol.MachineType
-import kotlin.math.ceil
 
 /** Machines of one type in one zone, spot or on-demand. */
 data class Market(
@@ -14,6 +14,9 @@
     val spot: Boolean,
 )
 
+/** The market in which the request is made. */
+val RentalRequest.market: Market get() = Market(type, zone, spot)
+
 /** A market in which machines may be ordered now. */
 class MarketOffer(
     val type: MachineType,
@@ -96,13 +99,7 @@
         spec: JobSpec,
         tasks: Int,
         offer: MarketOffer,
-    ): Double =
-        ceil(
-            tasks /
-                offer.type.size
-                    .slots(spec.need)
-                    .toDouble(),
-        ) * offer.price
+    ): Double = (offer.type.size.machinesFor(tasks, spec.need) ?: return Double.POSITIVE_INFINITY) * offer.price
 
     private fun isOpen(
         market: Market,
--- a/src/main/kotlin/dewwing/control/core/leadership/CancelledJobs.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/CancelledJobs.kt
@@ -26,17 +26,15 @@
     /** What this leader read before its election, if it did. */
     val readBeforeElection: CancelledJobs?,
 ) {
-    private val confirmed = LinkedHashSet<Cancellation>()
-    private val confirmedJobs = HashSet<JobRef>()
+    private val confirmed = LinkedHashMap<JobRef, Cancellation>()
 
     /** A cancellation that has been confirmed to a user, by this controller or by a peer. */
     fun add(cancellation: Cancellation) {
-        confirmed.add(cancellation)
-        confirmedJobs.add(cancellation.job)
+        confirmed[cancellation.job] = cancellation
     }
 
     /** All cancellations that were added. The restored state may not contain them, so each has to be applied to it. */
-    fun confirmed(): List<Cancellation> = confirmed.toList()
+    fun confirmed(): List<Cancellation> = confirmed.values.toList()
 
     /** Commands that end the reported tasks of cancelled jobs at once; a cancelled task need not be saved. */
     fun killsFor(report: Report): List<Command> =
@@ -44,5 +42,5 @@
             .filter { it.stage != TaskStage.ENDED && isCancelled(it.task.job) }
             .map { Command.Kill(it.task, it.attempt, graceS = 0.0) }
 
-    private fun isCancelled(job: JobRef): Boolean = job in confirmedJobs || readBeforeElection?.jobs?.contains(job) == true
+    private fun isCancelled(job: JobRef): Boolean = job in confirmed || readBeforeElection?.jobs?.contains(job) == true
 }
--- a/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
+++ b/src/main/kotlin/dewwing/control/core/placement/MachineIndex.kt
@@ -162,9 +162,7 @@
         job: Job,
         zone: List<MachineGroup>,
     ): Int? {
-        val slots = zone.maxOf { it.type.size.slots(job.spec.need) }
-        if (slots == 0) return null
-        val wanted = (job.spec.tasks + slots - 1) / slots
+        val wanted = Resources.machinesFor(job.spec.tasks, zone.maxOf { it.type.size.slots(job.spec.need) }) ?: return null
         val taskCounts = zone.flatMap { it.leastLoadedUnreserved(wanted) }.map { it.attempts.size }
         workCounter.count(taskCounts.size)
         return if (taskCounts.size < wanted) null else taskCounts.sorted().take(wanted).sum()
--- a/src/main/kotlin/dewwing/protocol/Model.kt
+++ b/src/main/kotlin/dewwing/protocol/Model.kt
@@ -37,11 +37,23 @@
         return maxOf(0, count)
     }
 
+    /** How many machines of this size [tasks] tasks need that each need [task]; null if a machine cannot hold one. */
+    fun machinesFor(
+        tasks: Int,
+        task: Resources,
+    ): Int? = machinesFor(tasks, slots(task))
+
     fun canFit(task: Resources): Boolean =
         task.cores <= cores + EPSILON && task.accelerators <= accelerators + EPSILON &&
             task.memoryGb <= memoryGb + EPSILON
 
     companion object {
+        /** How many machines with [slots] slots each [tasks] tasks need; null if a machine has none. */
+        fun machinesFor(
+            tasks: Int,
+            slots: Int,
+        ): Int? = if (slots <= 0) null else ((tasks.toLong() + slots - 1) / slots).toInt()
+
         /** Tolerance for comparing sums of decimal amounts, which carry rounding errors. */
         const val EPSILON = 1e-6
         val NONE = Resources(0.0, 0.0, 0.0)
