Heartbeats heard after the reading of the cancelled jobs do not count for a new owner of shard 0

Found by reading: a cancellation that a peer told between the reading and the switch to sharing reached the single leader only, while the heartbeat counted as one with all cancellations for the new term as well, until the next one half a second later. In an outage that could have added the time between the two to the age of what the new owner knows. Also, a switch that is not followed by its shards is forgotten with the next term.

--- a/src/main/kotlin/dewwing/control/app/Controller.kt
+++ b/src/main/kotlin/dewwing/control/app/Controller.kt
@@ -617,6 +617,7 @@
     /** Runs the single leader's term [elected]; returns when it has ended. */
     private suspend fun leadAlone(elected: ElectedTerm): Unit =
         coroutineScope {
+            enabledSharding = null
             val switching = sharing?.let { launch { switchToSharding(elected, it) } }
             singleElection.lead(elected)
             switching?.cancel()
--- a/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
+++ b/src/main/kotlin/dewwing/control/core/leadership/Leadership.kt
@@ -185,10 +185,17 @@
 
     /**
      * Takes over what [other], a leadership of this controller that ends, has heard from the peers. Otherwise the outage rule
-     * would not hold until each peer has been heard again and the jobs have been read after that.
+     * would not hold until each peer has been heard again and the jobs have been read after that. Cancellations told by
+     * heartbeats that were requested after [jobsReadAt] have reached the other leadership only, so these heartbeats do not count.
      */
-    fun inheritHeartbeats(other: Leadership) {
-        heartbeats.putAll(other.heartbeats)
+    fun inheritHeartbeats(
+        other: Leadership,
+        jobsReadAt: Instant,
+    ) {
+        for ((peer, heartbeat) in other.heartbeats) {
+            val isKnownHere = heartbeat.hasAllCancellations && heartbeat.requestedAt <= jobsReadAt
+            heartbeats[peer] = heartbeat.copy(hasAllCancellations = isKnownHere)
+        }
         incarnationSeenAt.putAll(other.incarnationSeenAt)
     }
 
--- a/src/main/kotlin/dewwing/control/sharing/ShardedControl.kt
+++ b/src/main/kotlin/dewwing/control/sharing/ShardedControl.kt
@@ -239,7 +239,7 @@
     /** The term of [ShardId.FIRST] that began when sharding was enabled. */
     private suspend fun leadFirstShard(takeover: SingleLeaderTakeover) {
         val election = elections.first()
-        election.leadership.inheritHeartbeats(takeover.leadership)
+        takeover.elected.cancelledJobs?.let { election.leadership.inheritHeartbeats(takeover.leadership, it.requestedAt) }
         try {
             lead(election, ShardId.FIRST, takeover.elected)
         } catch (e: IOException) {
