Tests: the fixture of launch checks builds its jobs with the harness's function

It wrote out all eighteen fields of a job, as two other tests do (GrowthTest and SchedulerTest, older).

--- a/src/test/kotlin/dewwing/control/core/LaunchFixture.kt
+++ b/src/test/kotlin/dewwing/control/core/LaunchFixture.kt
@@ -5,8 +5,6 @@
 import dewwing.protocol.Duration
 import dewwing.protocol.Instant
 import dewwing.protocol.JobRef
-import dewwing.protocol.JobShape
-import dewwing.protocol.JobSpec
 import dewwing.protocol.JobStage
 import dewwing.protocol.MachineId
 import dewwing.protocol.MachineType
@@ -44,26 +42,9 @@
         tasks: Int,
     ): JobRef {
         val spec =
-            JobSpec(
-                JobRef("job-$number"),
-                "c",
-                "t",
-                JobShape.ARRAY,
-                Urgency.HIGH,
-                tasks,
-                NEED,
-                "i",
-                1.0,
-                null,
-                null,
-                false,
-                false,
-                true,
-                30.0,
-                0.0,
-                0.0,
-                null,
-            )
+            SchedulerHarness
+                .job(number, tasks, urgency = Urgency.HIGH)
+                .copy(need = NEED, estimateS = 30.0, checkpointS = 0.0, saveS = 0.0)
         scheduler.onJobRecord(spec.ref, JobRecord(JobStage.QUEUED, spec, 0), revisionOf(number), Instant(0))
         return spec.ref
     }
