--- a/review/standins-3/Site.java
+++ b/review/standins-3/Site.java
@@ -389,6 +389,36 @@
         return last;
     }
 
+    /**
+     * Whether the job, of one task, does not start while for 90 s without a break some machine that may run it has room. Returns
+     * after 92 s at most.
+     */
+    boolean waitsBesideRoom(Job job) {
+        long from = StateStore.nowMs();
+        long roomSince = 0;
+        String seen = "";
+        while (StateStore.nowMs() - from < 92_000 && lastStay(job) == null) {
+            boolean room = false;
+            StringBuilder machines = new StringBuilder();
+            for (Worker worker : cloud.workers()) {
+                double[] free = worker.free();
+                machines.append(String.format(" %s (%s) has %.0f cores, %.0f accelerators and %.0f GB free;", worker.name, worker.kind.name, free[0], free[1],
+                    free[2]));
+                room |= job.need("cores") <= free[0] && job.need("accelerators") <= free[1] && job.need("memoryGb") <= free[2];
+            }
+            if (!machines.toString().equals(seen)) record("%s waits;%s", job.ref, machines);
+            seen = machines.toString();
+            roomSince = !room ? 0 : roomSince == 0 ? StateStore.nowMs() : roomSince;
+            if (roomSince > 0 && StateStore.nowMs() - roomSince >= 90_000) {
+                record("%s has not started, and for 90 s a machine has had room for it", job.ref);
+                return true;
+            }
+            StateStore.sleep(100);
+        }
+        record("%s %s", job.ref, lastStay(job) == null ? "has not started" : "has started");
+        return false;
+    }
+
     static String team(String name, double gpus, double gpusMax) {
         return String.format("{\"name\":\"%s\",\"cpus\":0.0,\"cpus_max\":0.0,\"gpus\":%s,\"gpus_max\":%s}", name, gpus, gpusMax);
     }
--- a/review/standins-3/Worker.java
+++ b/review/standins-3/Worker.java
@@ -14,6 +14,7 @@
         final long attempt;
         String stage;
         String cause;
+        boolean saved;
         long imageAtMs;
         long endsAtMs;
 
@@ -28,7 +29,7 @@
         }
 
         boolean onMachine() {
-            return stage.equals("running");
+            return stage.equals("running") || stage.equals("saving");
         }
     }
 
@@ -49,8 +50,6 @@
     private boolean changed;
     private volatile boolean gone;
     private volatile long hangsUntilMs;
-    private boolean tokenChangePending;
-    private long tokenReportedMs;
 
     Worker(Site site, String name, Cloud.Kind kind, String zone, boolean spot, int port) throws Exception {
         this.site = site;
@@ -113,6 +112,10 @@
                 site.onMachine(task.name(), name);
                 changed = true;
             }
+            if (task.stage.equals("saving") && now >= task.endsAtMs) {
+                halt(task, true);
+                changed = true;
+            }
             if (task.stage.equals("running") && now >= task.endsAtMs) {
                 leave(task, "done");
                 site.done(task.name());
@@ -192,6 +195,7 @@
         for (Task task : tasks.values()) {
             Map<String, Object> drop = Mp.map("drop", task.name(), "try", task.attempt, "stage", task.stage);
             if (task.cause != null) drop.put("cause", task.cause);
+            if (task.saved) drop.put("saved", true);
             drops.add(drop);
         }
         return Mp.map("perch", name, "endpoint", "127.0.0.1:" + port, "perchKind", kind.name, "meadow", zone, "windfall", spot, "flight", session,
@@ -242,11 +246,7 @@
                 if (held == null) launch(drop, attempt);
                 break;
             case "kill":
-                if (held != null && !held.stage.equals("ended")) {
-                    leave(held, "killed");
-                    held.stage = "ended";
-                    held.cause = "halted";
-                }
+                if (held != null && !held.stage.equals("ended")) kill(held, ((Number) call.getOrDefault("lingerS", 0.0)).doubleValue());
                 break;
             case "reap":
                 if (held != null && held.stage.equals("ended")) tasks.remove(drop + "#" + attempt);
@@ -256,6 +256,24 @@
         }
     }
 
+    /** A running task that has checkpoints saves if it is given the time; every other task exits at once. */
+    private void kill(Task task, double lingerS) {
+        double settleS = task.job.need("settleS");
+        if (task.stage.equals("running") && task.job.need("dewS") > 0 && lingerS >= settleS) {
+            task.stage = "saving";
+            task.endsAtMs = StateStore.nowMs() + (long) (settleS * 1000);
+        } else if (!task.stage.equals("saving") || lingerS <= 0) {
+            halt(task, false);
+        }
+    }
+
+    private void halt(Task task, boolean saved) {
+        leave(task, saved ? "saved" : "killed");
+        task.stage = "ended";
+        task.cause = "halted";
+        task.saved = saved;
+    }
+
     private void launch(String drop, long attempt) {
         int slash = drop.indexOf('/');
         Job job = site.jobs.get(drop.substring(0, slash));
