review: only a verdict makes a script exit with 1

Cause: the JVM itself exits with 1 when it cannot run the scenario, which run.sh would have passed on as a broken rule. Change: a broken rule has a status of its own inside, which run.sh turns into 1; anything but a verdict is 2.

--- a/review/standins-3/Site.java
+++ b/review/standins-3/Site.java
@@ -84,6 +84,11 @@
 
     Site(int caseNumber) throws Exception {
         this.caseNumber = caseNumber;
+        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> {
+            if (ended) return;
+            error.printStackTrace();
+            fail(thread.getName() + ": " + error);
+        });
         record = new PrintWriter(Files.newBufferedWriter(Path.of("review/" + caseNumber + "/record.txt"), StandardCharsets.UTF_8));
     }
 
@@ -215,18 +220,21 @@
         }
     }
 
-    /** Ends the run: 1 if the rule was broken, 0 if it held. */
+    private static final int EXIT_BROKEN = 10;
+    private static final int EXIT_COULD_NOT_RUN = 2;
+
+    /** Ends the run. A broken rule has a status that no failure of the JVM has; run.sh turns it into 1. */
     void finish(boolean broken, String verdict) {
         record("%s: %s", broken ? "BROKEN" : "HELD", verdict);
         System.out.println((broken ? "BROKEN: " : "HELD: ") + verdict);
-        System.exit(broken ? 1 : 0);
+        System.exit(broken ? EXIT_BROKEN : 0);
     }
 
     void fail(String reason) {
         if (ended) return;
         record("COULD NOT RUN: %s", reason);
         System.out.println("COULD NOT RUN: " + reason);
-        System.exit(2);
+        System.exit(EXIT_COULD_NOT_RUN);
     }
 
     int indexOf(String name) {
