--- a/review/standins-3/Scenario9.java
+++ b/review/standins-3/Scenario9.java
@@ -4,7 +4,7 @@
 /** Leaders that have to read the records of all jobs that were ever cancelled. */
 final class Scenario9 {
     public static void main(String[] args) throws Exception {
-        int cancelled = args.length > 0 ? Integer.parseInt(args[0]) : 60_000;
+        int cancelled = args.length > 0 ? Integer.parseInt(args[0]) : 70_000;
         Site site = new Site(9);
         site.kinds.add(new Cloud.Kind("emajogi-gpu", 12, 2, 96, 0.3, 5.55, 25, 10));
         site.teamsJson = Site.team("audio-team", 16, 32) + "," + Site.team("search-team", 40, 88);
